Add the platform client, its in-memory store and the stand-in

Cause: nothing spoke to the platform's object API yet.

Writes are classed by what they may have done: refused before a connection was there, or by 4xx/503, is unavailable; anything after that is unknown. Another URL is tried only after unavailable. A lost answer is settled by reading back and, while the first copy may still arrive, by sending the same conditional write again: reading alone can't tell a dropped request from a late one, so that was ruled out.

Conclusion: one table of store tests passes on the memory and over HTTP.

--- /dev/null
+++ b/internal/platform/protocol.go
@@ -0,0 +1,39 @@
+package platform
+
+// The object API over HTTP:
+//
+//	GET    /v1/objects/<key>    200, the value as body, its version in VersionHeader
+//	PUT    /v1/objects/<key>    If-Match: "<version>" or If-None-Match: *; 200, PutAnswer
+//	DELETE /v1/objects/<key>    If-Match: "<version>"; 204
+//	GET    /v1/list?prefix=     200, a JSON array of Object
+//	GET    /v1/watch?prefix=    200, one WatchLine of JSON a line, the first is ready
+//
+// 404 means not found, 412 conflict, 413 too large, 429 and 503 refused before
+// any change. Any other failure of a write leaves its outcome unknown.
+const (
+	// ObjectsPath precedes the key of one object.
+	ObjectsPath = "/v1/objects/"
+	// ListPath lists the objects under a prefix.
+	ListPath = "/v1/list"
+	// WatchPath watches the objects under a prefix.
+	WatchPath = "/v1/watch"
+	// VersionHeader carries the version of the object in an answer.
+	VersionHeader = "Object-Version"
+)
+
+// PutAnswer is the body of the answer to a successful PUT.
+type PutAnswer struct {
+	Version uint64 `json:"version"`
+}
+
+// WatchLine is one line of a watch. A line with neither field set keeps the
+// connection alive.
+type WatchLine struct {
+	Ready  bool    `json:"ready,omitempty"`
+	Object *Object `json:"object,omitempty"`
+}
+
+// prefixQuery is the query of a list or watch.
+type prefixQuery struct {
+	Prefix string `url:"prefix"`
+}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -29,6 +29,9 @@
 	// ErrUnknown says that the answer was lost: the change may have taken
 	// effect, and must be settled by reading the object.
 	ErrUnknown = errs.Class("platform outcome unknown")
+	// ErrTooLarge says that the value is above MaxValueBytes; the change did
+	// not take effect.
+	ErrTooLarge = errs.Class("platform value too large")
 )
 
 // Store is the platform as the rest of the system sees it.
@@ -44,6 +47,7 @@
 	Delete(ctx context.Context, key string, expected uint64) error
 	// Watch calls fn for each change under the prefix from now on, until ctx
 	// ends or the watch breaks. It may skip and repeat: it is a hint. It sends
-	// no initial state; list after it was opened (ready is called then).
+	// no initial state; list after it was opened (ready is called then). A
+	// deletion is reported as an object without a value.
 	Watch(ctx context.Context, prefix string, ready func(), fn func(Object)) error
 }
--- /dev/null
+++ b/internal/platform/store_test.go
@@ -0,0 +1,333 @@
+package platform_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"fulmarhinge/internal/platform"
+	"fulmarhinge/standin/platform/objectapi"
+)
+
+// testTimeout bounds each wait of a test.
+const testTimeout = 5 * time.Second
+
+// bench is a store under test with the memory behind it.
+type bench struct {
+	store  platform.Store
+	memory *platform.Memory
+}
+
+// onEachStore runs a test on the store in memory and on the client over HTTP.
+func onEachStore(t *testing.T, test func(t *testing.T, b bench)) {
+	t.Run("memory", func(t *testing.T) {
+		m := platform.NewMemory()
+		test(t, bench{store: m, memory: m})
+	})
+	t.Run("http", func(t *testing.T) {
+		m := platform.NewMemory()
+		server := httptest.NewServer(objectapi.New(m))
+		t.Cleanup(server.Close)
+		c := platform.NewClient(platform.Options{URLs: []string{server.URL}, Timeout: testTimeout})
+		test(t, bench{store: c, memory: m})
+	})
+}
+
+// wantClass fails unless the error belongs to the class.
+func wantClass(t *testing.T, class *errs.Class, err error) {
+	t.Helper()
+	if !class.Has(err) {
+		t.Fatalf("error %v, expected class %q", err, string(*class))
+	}
+}
+
+// mustPut writes an object or fails the test.
+func mustPut(t *testing.T, s platform.Store, key string, expected uint64, value string) uint64 {
+	t.Helper()
+	v, err := s.Put(t.Context(), key, expected, []byte(value))
+	if err != nil {
+		t.Fatalf("put %s: %v", key, err)
+	}
+	return v
+}
+
+func TestStoreConditionalUpdates(t *testing.T) {
+	onEachStore(t, func(t *testing.T, b bench) {
+		ctx := t.Context()
+		_, err := b.store.Get(ctx, "members/a b%?/ü")
+		wantClass(t, &platform.ErrNotFound, err)
+		v1 := mustPut(t, b.store, "members/a b%?/ü", 0, "one")
+		_, err = b.store.Put(ctx, "members/a b%?/ü", 0, []byte("two"))
+		wantClass(t, &platform.ErrConflict, err)
+		v2 := mustPut(t, b.store, "members/a b%?/ü", v1, "two")
+		if v2 <= v1 {
+			t.Fatalf("version went from %d to %d", v1, v2)
+		}
+		o, err := b.store.Get(ctx, "members/a b%?/ü")
+		if err != nil || o.Version != v2 || string(o.Value) != "two" {
+			t.Fatalf("got %+v, %v", o, err)
+		}
+		wantClass(t, &platform.ErrConflict, b.store.Delete(ctx, "members/a b%?/ü", v1))
+		if err := b.store.Delete(ctx, "members/a b%?/ü", v2); err != nil {
+			t.Fatal(err)
+		}
+		wantClass(t, &platform.ErrNotFound, b.store.Delete(ctx, "members/a b%?/ü", v2))
+		if v3 := mustPut(t, b.store, "members/a b%?/ü", 0, "three"); v3 <= v2 {
+			t.Fatalf("version went from %d to %d over a deletion", v2, v3)
+		}
+	})
+}
+
+func TestStoreListHasOnlyThePrefix(t *testing.T) {
+	onEachStore(t, func(t *testing.T, b bench) {
+		for _, k := range []string{"a/2", "b/1", "a/1"} {
+			mustPut(t, b.store, k, 0, k)
+		}
+		got, err := b.store.List(t.Context(), "a/")
+		if err != nil || len(got) != 2 || got[0].Key != "a/1" || string(got[1].Value) != "a/2" {
+			t.Fatalf("got %+v, %v", got, err)
+		}
+		none, err := b.store.List(t.Context(), "c/")
+		if err != nil || len(none) != 0 {
+			t.Fatalf("got %+v, %v", none, err)
+		}
+	})
+}
+
+func TestStoreValueSize(t *testing.T) {
+	onEachStore(t, func(t *testing.T, b bench) {
+		value := bytes.Repeat([]byte("x"), platform.MaxValueBytes)
+		if _, err := b.store.Put(t.Context(), "big", 0, value); err != nil {
+			t.Fatal(err)
+		}
+		o, err := b.store.Get(t.Context(), "big")
+		if err != nil || len(o.Value) != platform.MaxValueBytes {
+			t.Fatalf("got %d bytes, %v", len(o.Value), err)
+		}
+		_, err = b.store.Put(t.Context(), "bigger", 0, append(value, 'x'))
+		wantClass(t, &platform.ErrTooLarge, err)
+	})
+}
+
+func TestStoreFaults(t *testing.T) {
+	cases := []struct {
+		name     string
+		switches platform.Switches
+		class    *errs.Class
+		applied  bool
+	}{
+		{"down", platform.Switches{Down: true}, &platform.ErrUnavailable, false},
+		{"answer lost", platform.Switches{LoseAnswers: 1}, &platform.ErrUnknown, true},
+		{"request lost", platform.Switches{LoseRequests: 1}, &platform.ErrUnknown, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			onEachStore(t, func(t *testing.T, b bench) {
+				old := mustPut(t, b.store, "k", 0, "old")
+				b.memory.Set(c.switches)
+				_, err := b.store.Put(t.Context(), "k", old, []byte("new"))
+				wantClass(t, c.class, err)
+				b.memory.Set(platform.Switches{})
+				o, err := b.store.Get(t.Context(), "k")
+				if err != nil || (string(o.Value) == "new") != c.applied {
+					t.Fatalf("value %q, %v", o.Value, err)
+				}
+				b.memory.Set(c.switches)
+				wantClass(t, c.class, b.store.Delete(t.Context(), "k", o.Version))
+			})
+		})
+	}
+}
+
+func TestStoreReadsWhileDownOrLate(t *testing.T) {
+	onEachStore(t, func(t *testing.T, b bench) {
+		b.memory.Set(platform.Switches{Down: true})
+		_, err := b.store.Get(t.Context(), "k")
+		wantClass(t, &platform.ErrUnavailable, err)
+		_, err = b.store.List(t.Context(), "k")
+		wantClass(t, &platform.ErrUnavailable, err)
+		wantClass(t, &platform.ErrUnavailable, b.store.Watch(t.Context(), "k", nil, nil))
+		b.memory.Set(platform.Switches{SlowMs: int(testTimeout.Milliseconds())})
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		_, err = b.store.Get(ctx, "k")
+		wantClass(t, &platform.ErrUnavailable, err)
+	})
+}
+
+// startWatch opens a watch and returns its changes and its end.
+func startWatch(t *testing.T, s platform.Store, prefix string) (<-chan platform.Object, <-chan error) {
+	t.Helper()
+	changes := make(chan platform.Object, 16)
+	ended := make(chan error, 1)
+	ready := make(chan struct{})
+	go func() {
+		ended <- s.Watch(t.Context(), prefix, func() { close(ready) }, func(o platform.Object) { changes <- o })
+	}()
+	await(t, ready)
+	return changes, ended
+}
+
+// await receives one value or fails the test.
+func await[T any](t *testing.T, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(testTimeout):
+		t.Fatal("nothing came in time")
+		panic("unreachable")
+	}
+}
+
+func TestStoreWatch(t *testing.T) {
+	onEachStore(t, func(t *testing.T, b bench) {
+		changes, ended := startWatch(t, b.store, "a/")
+		mustPut(t, b.store, "b/1", 0, "other")
+		v := mustPut(t, b.store, "a/1", 0, "one")
+		if o := await(t, changes); o.Key != "a/1" || o.Version != v || string(o.Value) != "one" {
+			t.Fatalf("got %+v", o)
+		}
+		if err := b.store.Delete(t.Context(), "a/1", v); err != nil {
+			t.Fatal(err)
+		}
+		if o := await(t, changes); o.Key != "a/1" || o.Version <= v || len(o.Value) != 0 {
+			t.Fatalf("got %+v", o)
+		}
+		b.memory.Set(platform.Switches{WatchSkip: 1, WatchRepeat: true})
+		mustPut(t, b.store, "a/2", 0, "skipped")
+		mustPut(t, b.store, "a/3", 0, "twice")
+		for range 2 {
+			if o := await(t, changes); o.Key != "a/3" {
+				t.Fatalf("got %+v", o)
+			}
+		}
+		b.memory.Set(platform.Switches{Down: true})
+		wantClass(t, &platform.ErrUnavailable, await(t, ended))
+		if c := b.memory.Counts(); c.WatchOpened != 1 || c.WatchWaiting != 0 || c.WatchSeconds <= 0 {
+			t.Fatalf("counts %+v", c)
+		}
+	})
+}
+
+func TestStoreCountsCalls(t *testing.T) {
+	onEachStore(t, func(t *testing.T, b bench) {
+		v := mustPut(t, b.store, "k", 0, "v")
+		_, _ = b.store.Get(t.Context(), "k")
+		_, _ = b.store.Get(t.Context(), "none")
+		_, _ = b.store.List(t.Context(), "")
+		_ = b.store.Delete(t.Context(), "k", v)
+		want := platform.Counts{Get: 2, List: 1, Put: 1, Delete: 1}
+		if got := b.memory.Counts(); got != want {
+			t.Fatalf("counts %+v, expected %+v", got, want)
+		}
+	})
+}
+
+func TestClientTriesTheNextURLOnlyIfNothingChanged(t *testing.T) {
+	m := platform.NewMemory()
+	server := httptest.NewServer(objectapi.New(m))
+	t.Cleanup(server.Close)
+	closed := httptest.NewServer(objectapi.New(m))
+	closed.Close()
+	c := platform.NewClient(platform.Options{URLs: []string{closed.URL, server.URL}})
+	mustPut(t, c, "k", 0, "v")
+	m.Set(platform.Switches{LoseAnswers: 1})
+	_, err := c.Put(t.Context(), "k2", 0, []byte("v"))
+	wantClass(t, &platform.ErrUnknown, err)
+	if got := m.Counts().Put; got != 2 {
+		t.Fatalf("%d puts reached the platform, expected 2", got)
+	}
+	alone := platform.NewClient(platform.Options{URLs: []string{closed.URL}})
+	_, err = alone.Put(t.Context(), "k", 0, nil)
+	wantClass(t, &platform.ErrUnavailable, err)
+}
+
+func TestClientKeepsItsBudget(t *testing.T) {
+	m := platform.NewMemory()
+	server := httptest.NewServer(objectapi.New(m))
+	t.Cleanup(server.Close)
+	// One write an hour, after a burst of two.
+	budget := platform.Budget{Reads: 1000, Writes: 1.0 / 3600, Burst: 2}
+	c := platform.NewClient(platform.Options{URLs: []string{server.URL}, Budget: budget})
+	for i := range 2 {
+		mustPut(t, c, fmt.Sprint(i), 0, "v")
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	_, err := c.Put(ctx, "third", 0, nil)
+	wantClass(t, &platform.ErrUnavailable, err)
+	if got := m.Counts().Put; got != 2 {
+		t.Fatalf("%d puts reached the platform, expected 2", got)
+	}
+	c.SetBudget(platform.Budget{})
+	mustPut(t, c, "third", 0, "v")
+}
+
+func TestShareKeepsTheFleetWithinThePlatformsLimits(t *testing.T) {
+	for _, n := range []int{0, 1, 10, 100, 1200} {
+		share := platform.Share(n)
+		if share.Reads*float64(n) > platform.FleetReads+1e-6 || share.Writes*float64(n) > platform.FleetWrites+1e-6 {
+			t.Errorf("%d nodes: share %+v is above the limits", n, share)
+		}
+	}
+}
+
+func TestBackoffWait(t *testing.T) {
+	cases := []struct {
+		name     string
+		failures int
+		random   float64
+		want     time.Duration
+	}{
+		{"first, least", 1, 0, 50 * time.Millisecond},
+		{"first, middle", 1, 0.5, 75 * time.Millisecond},
+		{"third, least", 3, 0, 200 * time.Millisecond},
+		{"at the bound", 100, 0.5, 750 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := platform.Backoff{Base: 100 * time.Millisecond, Max: time.Second, Random: func() float64 { return c.random }}
+			if got := b.Wait(c.failures); got != c.want {
+				t.Errorf("wait %v, expected %v", got, c.want)
+			}
+		})
+	}
+}
+
+// wholeValue takes the value itself as its change id.
+func wholeValue(v []byte) string { return string(v) }
+
+func TestPutSettled(t *testing.T) {
+	cases := []struct {
+		name     string
+		switches platform.Switches
+	}{
+		{"nothing lost", platform.Switches{}},
+		{"answer lost", platform.Switches{LoseAnswers: 1}},
+		{"request lost", platform.Switches{LoseRequests: 1}},
+		{"two requests, then an answer lost", platform.Switches{LoseRequests: 2, LoseAnswers: 1}},
+	}
+	quick := platform.Backoff{Base: time.Microsecond, Max: time.Microsecond, Random: func() float64 { return 0 }}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := platform.NewMemory()
+			old := mustPut(t, m, "k", 0, "old")
+			m.Set(c.switches)
+			version, err := platform.PutSettled(t.Context(), m, quick, "k", old, []byte("new"), wholeValue)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if o, _ := m.Get(t.Context(), "k"); o.Version != version || string(o.Value) != "new" {
+				t.Fatalf("version %d, object %+v", version, o)
+			}
+			_, err = platform.PutSettled(t.Context(), m, quick, "k", old, []byte("late"), wholeValue)
+			wantClass(t, &platform.ErrConflict, err)
+		})
+	}
+}
