Lay out the configuration in the platform and edit it by version

Cause: a change had no form in the platform, so nothing could be accepted.

A head names immutable parts: one for services and routes, 64 buckets of contracts. The head remembers its last 16 changes, so that a lost answer is settled even if others have changed it again; reading back the present change id alone would take an accepted change for a refused one then. Left-over parts are swept by an update of the head in between, which needs no clock: an age limit was ruled out because a paused writer could outlast it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"maps"
 	"time"
 
 	"fulmarhinge/internal/contract"
@@ -37,12 +38,63 @@
 	KeySegment int `json:"key_segment,omitempty"`
 }
 
-// Config is one whole configuration.
+// Config is one whole configuration. Revision 0 is the empty configuration of
+// a platform that has none yet.
 type Config struct {
 	Revision  uint64                       `json:"revision"`
 	Services  map[string]Service           `json:"services"`
 	Routes    map[string]Route             `json:"routes"`
 	Contracts map[string]contract.Contract `json:"contracts"`
+	// Versions has the revision at which each item last changed.
+	Versions Versions `json:"versions"`
+	// FixedShards is the number of shards of each service that is or ever was
+	// divided by key: placement objects outlive a deleted service, so a service
+	// of the same name must divide its keys in the same way.
+	FixedShards map[string]int `json:"fixed_shards,omitempty"`
+}
+
+// Versions is the revision at which each item last changed, by its name. An
+// item that does not exist has version 0.
+type Versions struct {
+	Services  map[string]uint64 `json:"services"`
+	Routes    map[string]uint64 `json:"routes"`
+	Contracts map[string]uint64 `json:"contracts"`
+}
+
+// New returns the empty configuration, revision 0.
+func New() *Config {
+	return &Config{
+		Services:  map[string]Service{},
+		Routes:    map[string]Route{},
+		Contracts: map[string]contract.Contract{},
+		Versions: Versions{
+			Services:  map[string]uint64{},
+			Routes:    map[string]uint64{},
+			Contracts: map[string]uint64{},
+		},
+		FixedShards: map[string]int{},
+	}
+}
+
+// Clone returns a copy that shares nothing with the original.
+func (c *Config) Clone() *Config {
+	out := &Config{
+		Revision:  c.Revision,
+		Services:  maps.Clone(c.Services),
+		Routes:    maps.Clone(c.Routes),
+		Contracts: maps.Clone(c.Contracts),
+		Versions: Versions{
+			Services:  maps.Clone(c.Versions.Services),
+			Routes:    maps.Clone(c.Versions.Routes),
+			Contracts: maps.Clone(c.Versions.Contracts),
+		},
+		FixedShards: maps.Clone(c.FixedShards),
+	}
+	for name, ct := range out.Contracts {
+		ct.Services = maps.Clone(ct.Services)
+		out.Contracts[name] = ct
+	}
+	return out
 }
 
 // MaxTime returns the longest time that any contract lets a request to the
--- /dev/null
+++ b/internal/config/layout_test.go
@@ -0,0 +1,77 @@
+package config
+
+import (
+	"reflect"
+	"testing"
+
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/platform"
+)
+
+func TestDecodeHeadRefusesWhatIsNoHead(t *testing.T) {
+	cases := []struct{ name, value string }{
+		{"empty", ``},
+		{"no revision", `{"change_id":"x"}`},
+		{"no change id", `{"revision":1}`},
+		{"part elsewhere", `{"revision":1,"change_id":"x","parts":{"routing":"members/a"}}`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if _, err := DecodeHead([]byte(c.value)); !ErrCorrupt.Has(err) {
+				t.Errorf("error %v, expected corrupt", err)
+			}
+		})
+	}
+	if _, err := DecodeHead([]byte(`{"revision":1,"change_id":"x","of_a_newer_release":true}`)); err != nil {
+		t.Errorf("an unknown field must pass: %v", err)
+	}
+}
+
+func TestAssembleIsAllOrNothing(t *testing.T) {
+	m := platform.NewMemory()
+	e := quickEditor(m)
+	mustApply(t, e, All(Services.Set(0, Service{Name: "arquivo"}), Contracts.Set(0, contractOf("c", 1))))
+	s := mustLoad(t, e)
+	key := s.Head.Parts[ContractPart("c")]
+	get := func(k string) ([]byte, bool) {
+		o, err := m.Get(t.Context(), k)
+		return o.Value, err == nil
+	}
+	a := NewAssembler()
+	cfg, missing, err := a.Assemble(s.Head, func(k string) ([]byte, bool) {
+		if k == key {
+			return nil, false
+		}
+		return get(k)
+	})
+	if cfg != nil || err != nil || !reflect.DeepEqual(missing, []string{key}) {
+		t.Fatalf("got %v, %v, %v", cfg, missing, err)
+	}
+	asked := 0
+	cfg, missing, err = a.Assemble(s.Head, func(k string) ([]byte, bool) { asked++; return get(k) })
+	if err != nil || missing != nil || !reflect.DeepEqual(cfg, s.Config) {
+		t.Fatalf("got %+v, %v, %v, expected %+v", cfg, missing, err, s.Config)
+	}
+	if asked != 1 {
+		t.Errorf("asked for %d parts, expected only the missing one", asked)
+	}
+	if _, _, err := Assemble(s.Head, func(string) ([]byte, bool) { return []byte("{"), true }); !ErrCorrupt.Has(err) {
+		t.Errorf("error %v, expected corrupt", err)
+	}
+}
+
+func TestHeadSizeStaysSmall(t *testing.T) {
+	m := platform.NewMemory()
+	e := quickEditor(m)
+	for i := range 400 {
+		mustApply(t, e, Contracts.Set(0, contractOf(newChangeID(), float64(i+1))))
+	}
+	o, err := m.Get(t.Context(), cluster.ConfigHeadKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("head of %d parts: %d bytes", len(mustLoad(t, e).Head.Parts), len(o.Value))
+	if limit := 16 << 10; len(o.Value) > limit {
+		t.Errorf("head has %d bytes, expected at most %d", len(o.Value), limit)
+	}
+}
