--- /dev/null
+++ b/internal/lease/choose.go
@@ -0,0 +1,99 @@
+package lease
+
+import (
+	"slices"
+
+	"fulmarhinge/internal/cluster"
+)
+
+// maxPerZone is how many witnesses of one availability zone a set may name
+// while there are enough zones, so that a zone's loss leaves a majority.
+const maxPerZone = 2
+
+// Choose returns the witnesses that a member should name: up to want live
+// peers of its region, an odd number of them, spread over availability zones.
+// Present witnesses that are still usable stay, so that a set changes only
+// when it must. bad excludes peers that have refused or fallen silent.
+func Choose(self cluster.Member, peers []*cluster.Member, want int, bad func(cluster.MemberRef) bool) []cluster.Witness {
+	usable := usablePeers(self, peers, bad)
+	zones := map[string]int{}
+	for _, p := range usable {
+		zones[p.Zone]++
+	}
+	size := oddAtMost(min(want, len(usable)))
+	if size == 0 {
+		return nil
+	}
+	zoneCap := max(maxPerZone, (size+len(zones)-1)/len(zones))
+	sortByPreference(self, usable)
+	picked := pick(usable, size, zoneCap)
+	if len(picked) < size {
+		picked = pick(usable, size, size)
+	}
+	slices.SortFunc(picked, func(a, b cluster.Witness) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return picked
+}
+
+func usablePeers(self cluster.Member, peers []*cluster.Member, bad func(cluster.MemberRef) bool) []*cluster.Member {
+	var out []*cluster.Member
+	for _, p := range peers {
+		if p.Name == self.Name || p.Region != self.Region || p.State != cluster.StateActive {
+			continue
+		}
+		if !bad(p.MemberRef) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// oddAtMost returns the largest odd number up to n: an even set needs one
+// more answer than the odd one below it and survives no more losses.
+func oddAtMost(n int) int {
+	if n > 0 && n%2 == 0 {
+		return n - 1
+	}
+	return n
+}
+
+// sortByPreference puts present witnesses first, then peers by rendezvous
+// rank, which spreads the work of witnessing evenly.
+func sortByPreference(self cluster.Member, peers []*cluster.Member) {
+	present := map[cluster.MemberRef]bool{}
+	for _, w := range self.Witnesses {
+		present[w.MemberRef] = true
+	}
+	slices.SortFunc(peers, func(a, b *cluster.Member) int {
+		if present[a.MemberRef] != present[b.MemberRef] {
+			if present[a.MemberRef] {
+				return -1
+			}
+			return 1
+		}
+		if cluster.Rank(self.Name, a.Name) > cluster.Rank(self.Name, b.Name) {
+			return -1
+		}
+		return 1
+	})
+}
+
+func pick(peers []*cluster.Member, size, zoneCap int) []cluster.Witness {
+	var out []cluster.Witness
+	used := map[string]int{}
+	for _, p := range peers {
+		if len(out) == size {
+			break
+		}
+		if used[p.Zone] >= zoneCap {
+			continue
+		}
+		used[p.Zone]++
+		out = append(out, cluster.Witness{MemberRef: p.MemberRef, PeerAddr: p.PeerAddr})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lease/witness.go
@@ -0,0 +1,93 @@
+package lease
+
+import (
+	"slices"
+
+	"fulmarhinge/internal/clock"
+	"fulmarhinge/internal/cluster"
+)
+
+// Witness is the promises that one node has made to others. It lives in
+// memory only: a restarted process is a new incarnation, which no set names,
+// so what it has forgotten can't be asked of it.
+type Witness struct {
+	params   Params
+	promised map[cluster.MemberRef]clock.Mono
+	voted    map[cluster.MemberRef]bool
+}
+
+// NewWitness returns a witness that has promised nothing.
+func NewWitness(p Params) *Witness {
+	return &Witness{
+		params:   p,
+		promised: map[cluster.MemberRef]clock.Mono{},
+		voted:    map[cluster.MemberRef]bool{},
+	}
+}
+
+// Renew answers a renewal that arrived at now. heard is the newest round that
+// the holder says this witness has answered. A holder that does not hear the
+// answers gains nothing from a longer promise, and would block its eviction.
+func (w *Witness) Renew(now clock.Mono, holder cluster.MemberRef, seq, heard uint64) Answer {
+	if w.voted[holder] {
+		return Answer{Seq: seq, Refused: true}
+	}
+	if seq > heard+MaxUnheard {
+		return Answer{Seq: seq}
+	}
+	w.promised[holder] = now.Add(w.params.Promise)
+	return Answer{Seq: seq, Extended: true}
+}
+
+// Watch starts the timer of a holder that has named this witness and has not
+// renewed yet, so that one that dies at once is still noticed. It promises
+// nothing beyond what a first renewal would.
+func (w *Witness) Watch(now clock.Mono, holder cluster.MemberRef) {
+	if _, ok := w.promised[holder]; !ok {
+		w.promised[holder] = now.Add(w.params.Promise)
+	}
+}
+
+// Vote asks for a vote against the holder. It is given once every promise has
+// lapsed, and is final: after it, no renewal of this incarnation is answered
+// with a promise, since the eviction may succeed at any later time.
+func (w *Witness) Vote(now clock.Mono, holder cluster.MemberRef) bool {
+	if w.promised[holder] > now {
+		return false
+	}
+	w.voted[holder] = true
+	return true
+}
+
+// Lapsed returns, in a fixed order, the watched holders without a promise at
+// now, and since when each has had none.
+func (w *Witness) Lapsed(now clock.Mono) []Lapse {
+	var out []Lapse
+	for h, t := range w.promised {
+		if t <= now {
+			out = append(out, Lapse{Holder: h, Since: t})
+		}
+	}
+	slices.SortFunc(out, func(a, b Lapse) int {
+		if a.Holder.Name < b.Holder.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Lapse is a holder whose last promise has run out.
+type Lapse struct {
+	Holder cluster.MemberRef
+	Since  clock.Mono
+}
+
+// Forget drops a holder that can never serve again.
+func (w *Witness) Forget(holder cluster.MemberRef) {
+	delete(w.promised, holder)
+	delete(w.voted, holder)
+}
+
+// Holders returns the number of holders that are watched.
+func (w *Witness) Holders() int { return len(w.promised) }
