Read and check a node's settings strictly

Cause: a node must not start on settings that it half understands. encoding/json alone stops at the first fault, ignores case, keeps the last of two equal fields and takes null for absent, so it was ruled out as the only check; the decoder walks the structs, reports every fault with its path, and takes defaults from tags beside the fields. A test holds docs/SETTINGS.md to the structs (path, type, default).

--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,174 @@
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const valid = `{
+  "fleet": "test", "name": "n1", "zone": "z1", "region": "r1",
+  "caller": {"listen": "0.0.0.0:7000", "advertise": "127.0.0.1:7000"},
+  "peer": {"listen": "127.0.0.1:7001"},
+  "operator": {"listen": "127.0.0.1:7002"},
+  "backend": {"listen": "127.0.0.1:7003"},
+  "platform": {"urls": ["http://127.0.0.1:9000"]}
+}`
+
+func TestParseFillsDefaults(t *testing.T) {
+	s, err := Parse([]byte(valid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := s.Lease.Promise.D(); got != 1500*time.Millisecond {
+		t.Errorf("lease.promise = %v", got)
+	}
+	if s.Peer.Advertise != "127.0.0.1:7001" {
+		t.Errorf("peer.advertise = %q", s.Peer.Advertise)
+	}
+	if s.Log.Level != "info" || s.Limits.MaxHeaderBytes != 65536 {
+		t.Errorf("defaults not filled: %+v", s)
+	}
+}
+
+func TestParseNamesEachFault(t *testing.T) {
+	tests := []struct {
+		name     string
+		from, to string
+		path     string
+		message  string
+	}{
+		{"unknown field", `"fleet"`, `"flet": 1, "fleet"`, "flet", "unknown field"},
+		{"unknown inner field", `"listen": "127.0.0.1:7001"`, `"listen": "127.0.0.1:7001", "port": 1`, "peer.port", "unknown field"},
+		{"other case", `"zone"`, `"Zone"`, "Zone", "unknown field"},
+		{"missing zone", `"zone": "z1", `, ``, "zone", "missing"},
+		{"empty zone", `"z1"`, `""`, "zone", "letters"},
+		{"null", `"z1"`, `null`, "zone", "got null"},
+		{"twice", `"zone": "z1"`, `"zone": "z1", "zone": "z2"`, "zone", "twice"},
+		{"host name", `127.0.0.1:7001`, `localhost:7001`, "peer.listen", "numeric address"},
+		{"port 0", `127.0.0.1:7002`, `127.0.0.1:0`, "operator.listen", "port from 1"},
+		{"no port", `127.0.0.1:7002`, `127.0.0.1`, "operator.listen", "numeric address"},
+		{"wildcard unadvertised", `, "advertise": "127.0.0.1:7000"`, ``, "caller.advertise", "wildcard"},
+		{"operator not loopback", `127.0.0.1:7002`, `10.0.0.1:7002`, "operator.listen", "loopback"},
+		{"backend not loopback", `127.0.0.1:7003`, `10.0.0.1:7003`, "backend.listen", "loopback"},
+		{"same address", `127.0.0.1:7002`, `127.0.0.1:7001`, "operator.listen", "already"},
+		{"url with name", `http://127.0.0.1:9000`, `http://platform:9000`, "platform.urls[0]", "numeric"},
+		{"no urls", `["http://127.0.0.1:9000"]`, `[]`, "platform.urls", "empty"},
+		{"duration without unit", `"fleet"`, `"lease": {"promise": 1500}, "fleet"`, "lease.promise", "with its unit"},
+		{"duration of wrong unit", `"fleet"`, `"lease": {"promise": "1500 msec"}, "fleet"`, "lease.promise", "with its unit"},
+		{"duration out of range", `"fleet"`, `"lease": {"promise": "2h"}, "fleet"`, "lease.promise", "100ms to 1m"},
+		{"renew too long", `"fleet"`, `"lease": {"renew": "750ms"}, "fleet"`, "lease.renew", "half"},
+		{"tick too long", `"fleet"`, `"lease": {"tick": "500ms"}, "fleet"`, "lease.tick", "lease.renew"},
+		{"even witnesses", `"fleet"`, `"lease": {"witnesses": 4}, "fleet"`, "lease.witnesses", "odd"},
+		{"fraction", `"fleet"`, `"lease": {"witnesses": 3.5}, "fleet"`, "lease.witnesses", "whole number"},
+		{"level", `"fleet"`, `"log": {"level": "loud"}, "fleet"`, "log.level", "one of"},
+		{"object wanted", `{"listen": "127.0.0.1:7003"}`, `7`, "backend", "expected an object"},
+		{"not JSON", `"fleet"`, `fleet`, "", "line 2"},
+		{"trailing", `"fleet"`, `}{"fleet"`, "", "not JSON"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := Parse([]byte(strings.Replace(valid, tc.from, tc.to, 1)))
+			var e *Error
+			if !errors.As(err, &e) {
+				t.Fatalf("error = %v", err)
+			}
+			for _, p := range e.Problems {
+				if p.Path == tc.path && strings.Contains(p.Message, tc.message) {
+					return
+				}
+			}
+			t.Errorf("no problem at %q with %q in:\n%v", tc.path, tc.message, err)
+		})
+	}
+}
+
+func TestParseReportsAllFaultsAtOnce(t *testing.T) {
+	_, err := Parse([]byte(`{"colour": 1, "lease": {"promise": 3}}`))
+	for _, want := range []string{"colour: ", "lease.promise: ", "zone: missing", "platform.urls: missing", "peer.listen: missing"} {
+		if !strings.Contains(fmt.Sprint(err), want) {
+			t.Errorf("%q is not in:\n%v", want, err)
+		}
+	}
+}
+
+func TestAllowRemote(t *testing.T) {
+	in := strings.Replace(valid, `"127.0.0.1:7002"`, `"10.0.0.1:7002", "allow_remote": true`, 1)
+	if _, err := Parse([]byte(in)); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestDocumentMatchesStructs holds docs/SETTINGS.md to the structs: each field
+// has one row with its path, type and default, and no row is left over.
+func TestDocumentMatchesStructs(t *testing.T) {
+	b, err := os.ReadFile("../../docs/SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := map[string]string{}
+	for _, line := range strings.Split(string(b), "\n") {
+		if cells := strings.Split(line, "|"); strings.HasPrefix(line, "| `") && len(cells) >= 6 {
+			rows[strings.Trim(cells[1], " `")] = strings.TrimSpace(cells[2]) + " | " + strings.TrimSpace(cells[3])
+		}
+	}
+	walk("", reflect.TypeFor[Settings](), func(path string, f reflect.StructField) {
+		want := docType(f) + " | " + docDefault(f)
+		if rows[path] != want {
+			t.Errorf("%s: the document has %q, the struct %q", path, rows[path], want)
+		}
+		delete(rows, path)
+	})
+	for path := range rows {
+		t.Errorf("%s: in the document only", path)
+	}
+}
+
+func walk(path string, typ reflect.Type, fn func(string, reflect.StructField)) {
+	for i := range typ.NumField() {
+		f := typ.Field(i)
+		if f.Type.Kind() == reflect.Struct {
+			walk(join(path, jsonName(f)), f.Type, fn)
+			continue
+		}
+		fn(join(path, jsonName(f)), f)
+	}
+}
+
+func docType(f reflect.StructField) string {
+	switch {
+	case f.Type == durationType:
+		return "duration"
+	case f.Type.Kind() == reflect.Slice:
+		return "list of URLs"
+	case f.Type.Kind() == reflect.Bool:
+		return "boolean"
+	case f.Type.Kind() == reflect.String:
+		return map[string]string{checkName: "name", checkListen: "address", checkAdvertise: "address", checkIP: "IP", checkLevel: "level"}[f.Tag.Get("check")]
+	}
+	return "integer"
+}
+
+func docDefault(f reflect.StructField) string {
+	text, ok := f.Tag.Lookup("default")
+	switch {
+	case !ok:
+		return "required"
+	case text == "":
+		return "none"
+	case f.Type == durationType:
+		mustDuration(text)
+	}
+	if f.Type.Kind() == reflect.Int || f.Type.Kind() == reflect.Int64 && f.Type != durationType {
+		var n json.Number = json.Number(text)
+		if _, err := n.Int64(); err != nil {
+			panic(err)
+		}
+	}
+	return "`" + text + "`"
+}
