--- /dev/null
+++ b/internal/timeline/merge.go
@@ -0,0 +1,106 @@
+package timeline
+
+import (
+	"cmp"
+	"slices"
+
+	"fulmarhinge/internal/cluster"
+)
+
+// Merge puts the events of several processes in one order: by stamp, then by
+// node. An event that is in more than one list appears once.
+func Merge(lists [][]Event) []Event {
+	all := slices.Concat(lists...)
+	slices.SortStableFunc(all, compare)
+	return slices.CompactFunc(all, func(a, b Event) bool { return compare(a, b) == 0 })
+}
+
+// compare orders events. No two events of one incarnation share a stamp.
+func compare(a, b Event) int {
+	return cmp.Or(
+		cmp.Compare(a.Stamp.Wall, b.Stamp.Wall),
+		cmp.Compare(a.Stamp.Logical, b.Stamp.Logical),
+		cmp.Compare(a.Node.Name, b.Node.Name),
+		cmp.Compare(a.Node.Incarnation, b.Node.Incarnation),
+	)
+}
+
+// Filter selects events. Fields that are not set select everything.
+type Filter struct {
+	Service string
+	// Key also selects the events of its shard, given the shard counts.
+	Key string
+	// Shard is a shard number; nil for any.
+	Shard *int
+	// VM is the name of a member, as recorder or as subject.
+	VM       string
+	Customer string
+	// ShardCounts gives the number of shards of each service, for Key.
+	ShardCounts map[string]int
+}
+
+// Select returns the events that the filter picks, in their order. For a key
+// or a shard it adds what happened to the members that owned it (lease,
+// eviction, drain), since that is why it could not be served.
+func (f Filter) Select(events []Event) []Event {
+	owners := map[cluster.MemberRef]bool{}
+	if f.byUnit() {
+		for _, e := range events {
+			if e.Unit != nil && f.matchUnit(*e.Unit) && e.Member != nil {
+				owners[*e.Member] = true
+			}
+		}
+	}
+	var picked []Event
+	for _, e := range events {
+		if f.match(e, owners) {
+			picked = append(picked, e)
+		}
+	}
+	return picked
+}
+
+func (f Filter) byUnit() bool { return f.Service != "" || f.Key != "" || f.Shard != nil }
+
+func (f Filter) match(e Event, owners map[cluster.MemberRef]bool) bool {
+	if f.Customer != "" && e.Customer != f.Customer {
+		return false
+	}
+	if f.VM != "" && e.Node.Name != f.VM && (e.Member == nil || e.Member.Name != f.VM) {
+		return false
+	}
+	if !f.byUnit() {
+		return true
+	}
+	if e.Unit != nil {
+		return f.matchUnit(*e.Unit)
+	}
+	return ownerKinds[e.Kind] && owners[subject(e)]
+}
+
+// ownerKinds are the kinds that bear on all units of a member.
+var ownerKinds = map[Kind]bool{
+	KindLease: true, KindEviction: true, KindDrain: true, KindMember: true, KindBackend: true,
+}
+
+// subject returns the member that an event is about.
+func subject(e Event) cluster.MemberRef {
+	if e.Member != nil {
+		return *e.Member
+	}
+	return e.Node
+}
+
+func (f Filter) matchUnit(u cluster.Unit) bool {
+	if f.Service != "" && u.Service != f.Service {
+		return false
+	}
+	if f.Shard != nil && u.Shard != *f.Shard {
+		return false
+	}
+	if f.Key == "" || u.Key == f.Key {
+		return true
+	}
+	n := f.ShardCounts[u.Service]
+	return u.Key == "" && n > 0 && u.Shard == cluster.ShardOf(f.Key, n)
+}
