Let traffic goroutines wait for the next view

A gate that holds requests of a pending unit would have to poll; a channel that is closed at each publication costs nothing while nobody waits.

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -79,13 +79,34 @@
 type Source struct {
 	view  atomic.Pointer[View]
 	lease atomic.Int64
+	// changed is closed and replaced at each publication.
+	changed atomic.Pointer[chan struct{}]
 }
 
 // Current returns the newest view; nil before the first.
 func (s *Source) Current() *View { return s.view.Load() }
 
-// Publish makes v the newest view.
-func (s *Source) Publish(v *View) { s.view.Store(v) }
+// Publish makes v the newest view and wakes those who wait for a change.
+func (s *Source) Publish(v *View) {
+	s.view.Store(v)
+	if old := s.changed.Swap(nil); old != nil {
+		close(*old)
+	}
+}
+
+// Changed returns a channel that is closed at the next publication. Take it
+// before reading Current, so that no publication is missed.
+func (s *Source) Changed() <-chan struct{} {
+	for {
+		if ch := s.changed.Load(); ch != nil {
+			return *ch
+		}
+		ch := make(chan struct{})
+		if s.changed.CompareAndSwap(nil, &ch) {
+			return ch
+		}
+	}
+}
 
 // SetLease records until when the node's lease holds.
 func (s *Source) SetLease(until clock.Mono) { s.lease.Store(int64(until)) }
