--- /dev/null
+++ b/standin/backend/fence.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"fulmarhinge/internal/clock"
+	"fulmarhinge/standin/runlog"
+)
+
+// Headers that a node sends with each request.
+const (
+	headerUnit           = "Fulmarhinge-Unit"
+	headerEpoch          = "Fulmarhinge-Epoch"
+	headerLeaseUntil     = "Fulmarhinge-Lease-Until"
+	headerRequestID      = "Fulmarhinge-Request-Id"
+	headerCustomer       = "Fulmarhinge-Customer"
+	headerKey            = "Fulmarhinge-Key"
+	headerDeadlineMs     = "Fulmarhinge-Deadline-Ms"
+	headerIdempotencyKey = "Idempotency-Key"
+)
+
+// grant is what a node says of its right to send a request.
+type grant struct {
+	unit       string
+	key        string
+	epoch      uint64
+	leaseUntil clock.Mono
+	// deadline is zero if the node sent none.
+	deadline time.Time
+}
+
+// parseGrant reads the fence headers; absent ones stay zero.
+func parseGrant(h http.Header, now time.Time) (grant, error) {
+	g := grant{unit: h.Get(headerUnit), key: h.Get(headerKey)}
+	epoch, err := parseUint(h.Get(headerEpoch))
+	if err != nil {
+		return g, err
+	}
+	lease, err := parseUint(h.Get(headerLeaseUntil))
+	if err != nil {
+		return g, err
+	}
+	left, err := parseUint(h.Get(headerDeadlineMs))
+	if err != nil {
+		return g, err
+	}
+	g.epoch = epoch
+	g.leaseUntil = clock.Mono(lease)
+	if h.Get(headerDeadlineMs) != "" {
+		g.deadline = now.Add(time.Duration(left) * time.Millisecond)
+	}
+	return g, nil
+}
+
+func parseUint(s string) (uint64, error) {
+	if s == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(s, 10, 64)
+}
+
+// describe fills the record's fields that come from the grant.
+func (g grant) describe(r *runlog.Record) {
+	r.Unit = g.unit
+	r.Key = g.key
+	r.Epoch = g.epoch
+	r.LeaseUntil = int64(g.leaseUntil)
+	if !g.deadline.IsZero() {
+		r.DeadlineAt = g.deadline.UnixNano()
+	}
+}
+
+// fence refuses grants that are known to be outdated. Epochs are kept for the
+// unit and for the key, because a key may change between its shard and a pin.
+type fence struct {
+	mu      sync.Mutex
+	highest map[string]uint64
+}
+
+func newFence() *fence { return &fence{highest: make(map[string]uint64)} }
+
+// accept reports whether the grant is current, and remembers its epoch if so.
+func (f *fence) accept(g grant, now clock.Mono) bool {
+	if g.unit == "" {
+		// A service that is not divided by key has no units.
+		return true
+	}
+	if now >= g.leaseUntil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	unit, key := "unit:"+g.unit, "key:"+g.key
+	if g.epoch < f.highest[unit] || g.epoch < f.highest[key] {
+		return false
+	}
+	f.highest[unit] = g.epoch
+	f.highest[key] = g.epoch
+	return true
+}
--- /dev/null
+++ b/standin/relay/admin.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// adminRequest is the body of the admin calls. An IP of "*" stands for all.
+type adminRequest struct {
+	From string `json:"from"`
+	To   string `json:"to"`
+	// Both applies the call to the two directions.
+	Both bool `json:"both"`
+}
+
+// directions returns the directions that the request means.
+func (r adminRequest) directions() []direction {
+	ds := []direction{{r.From, r.To}}
+	if r.Both {
+		ds = append(ds, direction{r.To, r.From})
+	}
+	return ds
+}
+
+func (n *network) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /admin/cut", adminCall(func(r adminRequest) {
+		n.change(func(cuts map[direction]bool) {
+			for _, d := range r.directions() {
+				cuts[d] = true
+			}
+		})
+	}))
+	mux.HandleFunc("POST /admin/heal", adminCall(func(r adminRequest) {
+		n.change(func(cuts map[direction]bool) {
+			for _, d := range r.directions() {
+				delete(cuts, d)
+			}
+		})
+	}))
+	mux.HandleFunc("POST /admin/heal-all", func(w http.ResponseWriter, _ *http.Request) {
+		n.change(func(cuts map[direction]bool) { clear(cuts) })
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("POST /admin/reset", adminCall(func(r adminRequest) {
+		n.resetAll(direction{r.From, r.To})
+	}))
+	return mux
+}
+
+// adminCall decodes the request, checks it and carries it out.
+func adminCall(fn func(adminRequest)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var req adminRequest
+		d := json.NewDecoder(r.Body)
+		d.DisallowUnknownFields()
+		if err := d.Decode(&req); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if req.From == "" || req.To == "" {
+			http.Error(w, `expected "from" and "to": an IP or "*"`, http.StatusBadRequest)
+			return
+		}
+		fn(req)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
