--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,195 @@
+// Package operator talks to operators: the endpoint of each node for health,
+// metrics, status, events and planned stops, and the client that the command
+// line uses to ask all nodes of a fleet.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+
+	"fulmarhinge/internal/timeline"
+)
+
+// Limits of the endpoint.
+const (
+	maxOrderBytes    = 64 << 10
+	maxHeaderBytes   = 64 << 10
+	readTimeout      = 10 * time.Second
+	idleTimeout      = time.Minute
+	orderTimeout     = 30 * time.Second
+	shutdownDeadline = time.Second
+)
+
+// Paths of the endpoint.
+const (
+	PathHealth  = "/healthz"
+	PathReady   = "/readyz"
+	PathMetrics = "/metrics"
+	PathStatus  = "/v1/status"
+	PathEvents  = "/v1/events"
+	PathDrain   = "/v1/drain"
+	PathEvict   = "/v1/evict"
+)
+
+// Config says where the endpoint listens.
+type Config struct {
+	// Listen is an IP:port.
+	Listen string
+}
+
+// EvictOrder is the body of an order to evict a member.
+type EvictOrder struct {
+	Member string `json:"member"`
+	Force  bool   `json:"force"`
+}
+
+// EventList is the answer to a request for events.
+type EventList struct {
+	Events []timeline.Event `json:"events"`
+	// Shards gives the number of shards of each service divided by key, which
+	// tells the shard of a key.
+	Shards map[string]int `json:"shards"`
+}
+
+// Reply is the answer to an order, and to every request that fails.
+type Reply struct {
+	OK    bool   `json:"ok"`
+	Error string `json:"error,omitempty"`
+}
+
+// Server is the operators' endpoint of one node.
+type Server struct {
+	deps Deps
+	log  hclog.Logger
+	ln   net.Listener
+	http *http.Server
+}
+
+// New binds the address. It serves nothing before Run.
+func New(cfg Config, deps Deps, log hclog.Logger) (*Server, error) {
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{deps: deps, log: log.Named("operator"), ln: ln}
+	s.http = &http.Server{
+		Handler:        s.Handler(),
+		ReadTimeout:    readTimeout,
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+	return s, nil
+}
+
+// Addr returns the address that is bound.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Run serves until ctx ends, then closes the listener and returns nil.
+func (s *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.shutdown)
+	defer stop()
+	err := s.http.Serve(s.ln)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownDeadline)
+	defer cancel()
+	if s.http.Shutdown(ctx) != nil {
+		// A client that does not finish must not hold up the stop.
+		_ = s.http.Close()
+	}
+}
+
+// Handler returns the routes of the endpoint.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathHealth, s.health)
+	mux.HandleFunc("GET "+PathReady, s.ready)
+	mux.HandleFunc("GET "+PathMetrics, s.metrics)
+	mux.HandleFunc("GET "+PathStatus, s.status)
+	mux.HandleFunc("GET "+PathEvents, s.events)
+	mux.HandleFunc("POST "+PathDrain, s.drain)
+	mux.HandleFunc("POST "+PathEvict, s.evict)
+	return mux
+}
+
+// health answers as long as the process runs, whatever its state.
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, Reply{OK: true})
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	ok, reason := s.deps.Ready()
+	if !ok {
+		writeJSON(w, http.StatusServiceUnavailable, Reply{Error: reason})
+		return
+	}
+	writeJSON(w, http.StatusOK, Reply{OK: true})
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	metrics.WritePrometheus(w, true)
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.deps.Status())
+}
+
+func (s *Server) events(w http.ResponseWriter, r *http.Request) {
+	filter, err := filterFromQuery(r.URL.Query())
+	if err != nil {
+		writeJSON(w, http.StatusBadRequest, Reply{Error: err.Error()})
+		return
+	}
+	filter.ShardCounts = s.deps.Status().Shards
+	list := EventList{Events: filter.Select(s.deps.Events()), Shards: filter.ShardCounts}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), orderTimeout)
+	defer cancel()
+	s.log.Info("planned stop ordered", "from", r.RemoteAddr)
+	s.answerOrder(w, "drain", s.deps.Drain(ctx))
+}
+
+func (s *Server) evict(w http.ResponseWriter, r *http.Request) {
+	var order EvictOrder
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxOrderBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&order); err != nil || order.Member == "" {
+		writeJSON(w, http.StatusBadRequest, Reply{Error: `expected {"member": NAME, "force": true or false}`})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), orderTimeout)
+	defer cancel()
+	s.log.Info("eviction ordered", "member", order.Member, "force", order.Force, "from", r.RemoteAddr)
+	s.answerOrder(w, "evict", s.deps.Evict(ctx, order.Member, order.Force))
+}
+
+func (s *Server) answerOrder(w http.ResponseWriter, order string, err error) {
+	if err != nil {
+		s.log.Warn("order failed", "order", order, "error", err)
+		writeJSON(w, http.StatusConflict, Reply{Error: err.Error()})
+		return
+	}
+	writeJSON(w, http.StatusOK, Reply{OK: true})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
