--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -23,9 +23,14 @@
 const (
 	// maxAttempts bounds how often a change is made again because another one
 	// was accepted first.
-	maxAttempts = 20
-	// loadParallel is how many parts are read at a time.
-	loadParallel = 8
+	maxAttempts = 100
+	// maxLoads bounds how often a head is read whose parts are missing.
+	maxLoads = 6
+	// raceBackoffSteps bounds the backoff after a lost race: the platform
+	// answers then, so long waits would only delay the operator.
+	raceBackoffSteps = 3
+	// partsParallel is how many parts are read or written at a time.
+	partsParallel = 8
 	// keepSuperseded is for how many revisions a superseded part is kept for
 	// readers that are still fetching it.
 	keepSuperseded = 16
@@ -37,6 +42,8 @@
 	store   platform.Store
 	backoff platform.Backoff
 	newID   func() string
+	// parallel is how many parts are read or written at a time.
+	parallel int
 
 	mu sync.Mutex
 	// values caches parts of the last load; they never change.
@@ -54,9 +61,10 @@
 // NewEditor returns an editor of the configuration in a store.
 func NewEditor(store platform.Store) *Editor {
 	return &Editor{
-		store:   store,
-		backoff: platform.DefaultBackoff(),
-		newID:   newChangeID,
+		store:    store,
+		backoff:  platform.DefaultBackoff(),
+		newID:    newChangeID,
+		parallel: partsParallel,
 	}
 }
 
@@ -73,7 +81,7 @@
 		}
 		// A part that is gone was superseded after the head was read: the next
 		// read finds a newer head.
-		if attempt == maxAttempts {
+		if attempt == maxLoads {
 			return Snapshot{}, ErrCorrupt.New("revision %d: part %s is missing", s.Head.Revision, missing[0])
 		}
 		if err := e.backoff.Sleep(ctx, attempt); err != nil {
@@ -114,8 +122,9 @@
 	var mu sync.Mutex
 	values := map[string][]byte{}
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(loadParallel)
-	for _, key := range h.Parts {
+	group.SetLimit(e.parallel)
+	for _, name := range sortedKeys(h.Parts) {
+		key := h.Parts[name]
 		if v, ok := cached[key]; ok {
 			mu.Lock()
 			values[key] = v
@@ -164,7 +173,7 @@
 		if attempt == maxAttempts {
 			return Accepted{}, platform.ErrUnavailable.New("other changes were accepted first %d times", maxAttempts)
 		}
-		if err := e.backoff.Sleep(ctx, min(attempt, 3)); err != nil {
+		if err := e.backoff.Sleep(ctx, min(attempt, raceBackoffSteps)); err != nil {
 			return Accepted{}, platform.ErrUnavailable.Wrap(err)
 		}
 	}
@@ -258,8 +267,9 @@
 // writeParts writes all parts of a change; nothing refers to them yet.
 func (e *Editor) writeParts(ctx context.Context, values map[string][]byte) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(loadParallel)
-	for key, value := range values {
+	group.SetLimit(e.parallel)
+	for _, key := range sortedKeys(values) {
+		value := values[key]
 		group.Go(func() error {
 			_, err := platform.PutSettled(ctx, e.store, e.backoff, key, 0, value, func(v []byte) string { return string(v) })
 			if platform.ErrUnknown.Has(err) {
--- a/internal/platform/memory.go
+++ b/internal/platform/memory.go
@@ -15,6 +15,9 @@
 // watch breaks.
 const watchBacklog = 1024
 
+// lateCalls is after how many further calls a late request arrives.
+const lateCalls = 3
+
 // Switches make the in-memory store misbehave as the real platform may.
 type Switches struct {
 	// Down refuses every call and breaks every watch.
@@ -27,6 +30,9 @@
 	// LoseRequests is how many of the next writes are dropped without effect
 	// and without an answer.
 	LoseRequests int `json:"lose_requests"`
+	// LateRequests is how many of the next writes get no answer and arrive only
+	// after three further calls of any kind.
+	LateRequests int `json:"late_requests"`
 	// WatchSkip is how many of the next changes no watch reports.
 	WatchSkip int `json:"watch_skip"`
 	// WatchRepeat reports each change twice.
@@ -57,6 +63,14 @@
 	switches Switches
 	counts   Counts
 	watchers map[*watcher]struct{}
+	late     []lateWrite
+}
+
+// lateWrite is a write that has yet to arrive.
+type lateWrite struct {
+	// calls is how many further calls come first.
+	calls int
+	apply func()
 }
 
 // watcher is one open watch.
@@ -151,18 +165,25 @@
 	if len(value) > MaxValueBytes {
 		return 0, ErrTooLarge.New("%s: %d bytes, at most %d are stored", key, len(value), MaxValueBytes)
 	}
-	if m.loseRequest() {
+	apply := func() (uint64, error) { return m.put(key, expected, value) }
+	if m.lost(func() { _, _ = apply() }) {
 		return 0, ErrUnknown.New("put %s: request lost", key)
 	}
+	version, err := apply()
+	return version, m.answered(err)
+}
+
+// put makes the change; m.mu is held.
+func (m *Memory) put(key string, expected uint64, value []byte) (uint64, error) {
 	present := m.objects[key].Version
 	if present != expected {
-		return 0, m.answered(ErrConflict.New("%s: expected version %d, present version %d", key, expected, present))
+		return 0, ErrConflict.New("%s: expected version %d, present version %d", key, expected, present)
 	}
 	m.version++
 	o := Object{Key: key, Version: m.version, Value: append([]byte{}, value...)}
 	m.objects[key] = o
 	m.report(o)
-	return o.Version, m.answered(nil)
+	return o.Version, nil
 }
 
 // Delete implements Store.
@@ -172,20 +193,26 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.loseRequest() {
+	apply := func() error { return m.remove(key, expected) }
+	if m.lost(func() { _ = apply() }) {
 		return ErrUnknown.New("delete %s: request lost", key)
 	}
+	return m.answered(apply())
+}
+
+// remove makes the change; m.mu is held.
+func (m *Memory) remove(key string, expected uint64) error {
 	o, ok := m.objects[key]
 	if !ok {
-		return m.answered(ErrNotFound.New("%s", key))
+		return ErrNotFound.New("%s", key)
 	}
 	if o.Version != expected {
-		return m.answered(ErrConflict.New("%s: expected version %d, present version %d", key, expected, o.Version))
+		return ErrConflict.New("%s: expected version %d, present version %d", key, expected, o.Version)
 	}
 	delete(m.objects, key)
 	m.version++
 	m.report(Object{Key: key, Version: m.version})
-	return m.answered(nil)
+	return nil
 }
 
 // Watch implements Store. A deletion is reported as an object without a value.
@@ -222,6 +249,7 @@
 func (m *Memory) begin(ctx context.Context, count *uint64) error {
 	m.mu.Lock()
 	*count++
+	m.arrive()
 	s := m.switches
 	m.mu.Unlock()
 	if s.SlowMs > 0 {
@@ -241,13 +269,32 @@
 	return nil
 }
 
-// loseRequest reports whether this write is to be dropped.
-func (m *Memory) loseRequest() bool {
-	if m.switches.LoseRequests == 0 {
-		return false
+// lost reports whether this write gets no answer because its request is dropped
+// or late; m.mu is held.
+func (m *Memory) lost(apply func()) bool {
+	switch {
+	case m.switches.LoseRequests > 0:
+		m.switches.LoseRequests--
+		return true
+	case m.switches.LateRequests > 0:
+		m.switches.LateRequests--
+		m.late = append(m.late, lateWrite{calls: lateCalls, apply: apply})
+		return true
+	}
+	return false
+}
+
+// arrive lets the late writes take effect whose time has come; m.mu is held.
+func (m *Memory) arrive() {
+	var waiting []lateWrite
+	for _, w := range m.late {
+		if w.calls--; w.calls > 0 {
+			waiting = append(waiting, w)
+			continue
+		}
+		w.apply()
 	}
-	m.switches.LoseRequests--
-	return true
+	m.late = waiting
 }
 
 // answered returns err, or ErrUnknown if the answer is to be lost.
--- a/internal/platform/store_test.go
+++ b/internal/platform/store_test.go
@@ -124,6 +124,7 @@
 		{"down", platform.Switches{Down: true}, &platform.ErrUnavailable, false},
 		{"answer lost", platform.Switches{LoseAnswers: 1}, &platform.ErrUnknown, true},
 		{"request lost", platform.Switches{LoseRequests: 1}, &platform.ErrUnknown, false},
+		{"request late", platform.Switches{LateRequests: 1}, &platform.ErrUnknown, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -311,6 +312,8 @@
 		{"nothing lost", platform.Switches{}},
 		{"answer lost", platform.Switches{LoseAnswers: 1}},
 		{"request lost", platform.Switches{LoseRequests: 1}},
+		{"request late", platform.Switches{LateRequests: 1}},
+		{"two late requests", platform.Switches{LateRequests: 2}},
 		{"two requests, then an answer lost", platform.Switches{LoseRequests: 2, LoseAnswers: 1}},
 	}
 	quick := platform.Backoff{Base: time.Microsecond, Max: time.Microsecond, Random: func() float64 { return 0 }}
