--- /dev/null
+++ b/internal/cli/root.go
@@ -0,0 +1,91 @@
+// Package cli is the command line: it runs a node, and sends an operator's
+// questions and orders to the nodes and the platform of a fleet.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/spf13/cobra"
+
+	"fulmarhinge/internal/result"
+	"fulmarhinge/internal/settings"
+)
+
+// runNode runs a node until ctx ends and its planned stop is over.
+var runNode func(ctx context.Context, s *settings.Settings, log hclog.Logger) error = notLinked
+
+// notLinked stands in for the node until its package is linked.
+func notLinked(context.Context, *settings.Settings, hclog.Logger) error {
+	return fmt.Errorf("this build has no node")
+}
+
+// Main runs one command and returns its exit code. The first SIGTERM or SIGINT
+// ends the command's context; a second one ends the process.
+func Main(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	return int(run(ctx, args, out, errOut))
+}
+
+// run executes one command line.
+func run(ctx context.Context, args []string, out, errOut io.Writer) result.ExitCode {
+	a := &app{out: out, errOut: errOut}
+	root := newRootCmd(a)
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return result.ExitOK
+	}
+	fmt.Fprintln(errOut, "fulmarhinge:", err)
+	if !a.started {
+		// Nothing ran: cobra did not understand the command line.
+		fmt.Fprintln(errOut, `see "fulmarhinge --help"`)
+		return result.ExitUsage
+	}
+	return exitCode(err)
+}
+
+func newRootCmd(a *app) *cobra.Command {
+	root := &cobra.Command{
+		Use:   "fulmarhinge",
+		Short: "Router for servers that own keys exclusively",
+		Long: `Fulmarhinge routes each request to the one backend server that owns its key.
+
+One node runs beside each backend server. The other commands ask or order the
+nodes of a fleet. They find the nodes through the platform (--platform, or
+--settings with a node's file), or, while the platform is down, through the
+operator address of any one node (--node).`,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if err := a.checkFlags(); err != nil {
+				return err
+			}
+			a.started = true
+			return nil
+		},
+	}
+	a.addFlags(root.PersistentFlags())
+	root.AddCommand(
+		newNodeCmd(a),
+		newSettingsCmd(a),
+		newStatusCmd(a),
+		newTimelineCmd(a),
+		newDrainCmd(a),
+		newEvictCmd(a),
+		newVersionCmd(a),
+	)
+	root.AddCommand(configCommands(a)...)
+	return root
+}
+
+// configCommands returns the commands that read and edit the configuration.
+func configCommands(*app) []*cobra.Command { return nil }
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -60,10 +60,12 @@
 // MemberRow is one member as the answering node sees it.
 type MemberRow struct {
 	cluster.MemberRef
-	Zone    string              `json:"zone"`
-	State   cluster.MemberState `json:"state"`
-	Service string              `json:"service,omitempty"`
-	Ready   bool                `json:"ready"`
+	// OperatorAddr lets one node's answer lead to all the others.
+	OperatorAddr string              `json:"operator_addr"`
+	Zone         string              `json:"zone"`
+	State        cluster.MemberState `json:"state"`
+	Service      string              `json:"service,omitempty"`
+	Ready        bool                `json:"ready"`
 	// SilentMs is the time since the member was last heard, in milliseconds;
 	// -1 if this node does not hear it directly.
 	SilentMs int64 `json:"silent_ms"`
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,26 @@
+// Package version says which build is running.
+package version
+
+import "runtime/debug"
+
+// String returns the module's version or, for a build from a work tree, the
+// revision it was built from.
+func String() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	revision, modified := "", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value[:min(12, len(s.Value))]
+		case s.Key == "vcs.modified" && s.Value == "true":
+			modified = "+modified"
+		}
+	}
+	if revision == "" {
+		return info.Main.Version
+	}
+	return revision + modified
+}
