Show the node's status as metrics

Cause: alarms need lease, readiness, revisions and units as figures. They are written from the status at each scrape; gauges kept by the control state were ruled out, since they would be a second copy. Suppressed log lines are counted.

--- a/internal/logging/limit.go
+++ b/internal/logging/limit.go
@@ -5,9 +5,13 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 )
 
+// suppressedLines counts lines that were not written, over all parts.
+var suppressedLines = metrics.NewCounter("fulmarhinge_log_lines_suppressed_total")
+
 // subjectArgs are the arguments that keep lines with one text apart: two peers
 // that fail at once are two events.
 var subjectArgs = map[string]bool{"member": true, "peer": true, "service": true, "url": true}
@@ -33,6 +37,7 @@
 	}
 	suppressed, ok := l.memory.allow(l.key(level, msg, args), allowance(level))
 	if !ok {
+		suppressedLines.Inc()
 		return
 	}
 	if suppressed > 0 {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -81,6 +81,7 @@
 		{"ready", &fakeNode{}, "GET", PathReady, "", 200, `"ok":true`},
 		{"not ready", &fakeNode{notReady: "no lease"}, "GET", PathReady, "", 503, "no lease"},
 		{"metrics", &fakeNode{}, "GET", PathMetrics, "", 200, "process_"},
+		{"metrics of the status", &fakeNode{}, "GET", PathMetrics, "", 200, "fulmarhinge_revision_in_force 3"},
 		{"status", &fakeNode{}, "GET", PathStatus, "", 200, `"revision_in_force":3`},
 		{"events of a key", &fakeNode{}, "GET", PathEvents + "?key=k", "", 200, `"text":"one"`},
 		{"unknown filter", &fakeNode{}, "GET", PathEvents + "?kee=k", "", 400, "kee"},
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 
 	"fulmarhinge/internal/timeline"
@@ -138,11 +137,6 @@
 	writeJSON(w, http.StatusOK, Reply{OK: true})
 }
 
-func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	metrics.WritePrometheus(w, true)
-}
-
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, s.deps.Status())
 }
