--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -226,6 +226,7 @@
 		Server:         s.opts.server,
 		RequestID:      r.Header.Get(headerRequestID),
 		ClientID:       r.URL.Query().Get("id"),
+		Attempt:        r.URL.Query().Get("attempt"),
 		Method:         r.Method,
 		IdempotencyKey: r.Header.Get(headerIdempotencyKey),
 		Customer:       r.Header.Get(headerCustomer),
--- a/standin/runlog/runlog.go
+++ b/standin/runlog/runlog.go
@@ -48,7 +48,9 @@
 	Run       uint64 `json:"run"`
 	RequestID string `json:"request_id,omitempty"`
 	// ClientID is the id that the load generator gave the request.
-	ClientID       string `json:"client_id,omitempty"`
+	ClientID string `json:"client_id,omitempty"`
+	// Attempt is the id of one sending of the request; a retry has another.
+	Attempt        string `json:"attempt,omitempty"`
 	Method         string `json:"method,omitempty"`
 	IdempotencyKey string `json:"idempotency_key,omitempty"`
 	Customer       string `json:"customer,omitempty"`
--- /dev/null
+++ b/test/fault/harness/unavailable.go
@@ -0,0 +1,88 @@
+package harness
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Gap is how long a key went without an answer.
+type Gap struct {
+	// First is from the fault to the first answer after it.
+	First time.Duration
+	// Longest is the longest time between two answers, or between an answer
+	// and the end of the window; it counts the interval of the load in.
+	Longest time.Duration
+}
+
+// Unavailable returns the gap of each key in the window from the fault to end.
+func Unavailable(attempts []Attempt, fault, end time.Time) map[string]Gap {
+	answers := make(map[string][]time.Time)
+	for _, a := range attempts {
+		if _, ok := answers[a.Key]; !ok {
+			answers[a.Key] = nil
+		}
+		if a.Class == Answered && !a.Ended.After(end) {
+			answers[a.Key] = append(answers[a.Key], a.Ended)
+		}
+	}
+	gaps := make(map[string]Gap, len(answers))
+	for key, times := range answers {
+		gaps[key] = gapOf(times, fault, end)
+	}
+	return gaps
+}
+
+// gapOf finds the gaps of one key.
+func gapOf(times []time.Time, fault, end time.Time) Gap {
+	slices.SortFunc(times, time.Time.Compare)
+	g := Gap{First: end.Sub(fault)}
+	// Before the first answer of all, time counts from the fault.
+	last := fault
+	seen := false
+	for _, t := range times {
+		if t.Before(fault) {
+			last = t
+			continue
+		}
+		if !seen {
+			g.First = t.Sub(fault)
+			seen = true
+		}
+		g.Longest = max(g.Longest, t.Sub(last))
+		last = t
+	}
+	g.Longest = max(g.Longest, end.Sub(last))
+	return g
+}
+
+// Summary gives quantiles of durations.
+type Summary struct {
+	Count  int           `json:"count"`
+	Median time.Duration `json:"median_ns"`
+	P99    time.Duration `json:"p99_ns"`
+	Max    time.Duration `json:"max_ns"`
+}
+
+// Summarize returns the quantiles of ds, by the nearest rank.
+func Summarize(ds []time.Duration) Summary {
+	if len(ds) == 0 {
+		return Summary{}
+	}
+	slices.Sort(ds)
+	rank := func(q float64) time.Duration {
+		return ds[int(math.Ceil(q*float64(len(ds))))-1]
+	}
+	return Summary{Count: len(ds), Median: rank(0.5), P99: rank(0.99), Max: ds[len(ds)-1]}
+}
+
+// LongestGaps returns the longest gaps of the given keys; all keys if nil.
+func LongestGaps(gaps map[string]Gap, keys []string) []time.Duration {
+	var ds []time.Duration
+	for key, g := range gaps {
+		if keys == nil || slices.Contains(keys, key) {
+			ds = append(ds, g.Longest)
+		}
+	}
+	return ds
+}
