Start fleets of processes with faults on each path

Nodes dial from an IP of their own and reach the platform through the relay, so a cut takes one direction of one pair. Not run yet with a node; none exists.

--- a/standin/relay/main.go
+++ b/standin/relay/main.go
@@ -30,7 +30,7 @@
 	log.SetPrefix("relay: ")
 	var maps mapFlags
 	admin := flag.String("admin", "127.0.0.1:0", "IP:port of the admin listener")
-	flag.Var(&maps, "map", "listen=target, both IP:port; may be repeated")
+	flag.Var(&maps, "map", "listen=target, both IP:port, with @IP if connections come from one IP; may be repeated")
 	flag.Parse()
 	n := newNetwork()
 	for _, m := range maps {
@@ -38,11 +38,12 @@
 		if !ok {
 			log.Fatalf("--map %s: expected listen=target", m)
 		}
+		target, source, _ := strings.Cut(target, "@")
 		l, err := net.Listen("tcp", listen)
 		if err != nil {
 			log.Fatalf("cannot listen: %v", err)
 		}
-		go n.accept(l, target)
+		go n.accept(l, target, source)
 	}
 	l, err := net.Listen("tcp", *admin)
 	if err != nil {
--- a/standin/relay/network.go
+++ b/standin/relay/network.go
@@ -77,22 +77,27 @@
 	}
 }
 
-// accept relays every connection of the listener to the target.
-func (n *network) accept(l net.Listener, target string) {
+// accept relays every connection of the listener to the target. The source
+// stands for the IP of the client where it is not empty.
+func (n *network) accept(l net.Listener, target, source string) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
 			log.Fatalf("cannot accept on %s: %v", l.Addr(), err)
 		}
-		go n.relay(c.(*net.TCPConn), target)
+		from := source
+		if from == "" {
+			from = hostOf(c.RemoteAddr().String())
+		}
+		go n.relay(c.(*net.TCPConn), from, target)
 	}
 }
 
 // relay joins the connection to the target until both directions have ended.
-func (n *network) relay(client *net.TCPConn, target string) {
+func (n *network) relay(client *net.TCPConn, from, target string) {
 	const dialTimeout = 2 * time.Second
 	p := &pair{
-		forward: direction{hostOf(client.RemoteAddr().String()), hostOf(target)},
+		forward: direction{from, hostOf(target)},
 		client:  client,
 		closed:  make(chan struct{}),
 	}
--- a/standin/relay/network_test.go
+++ b/standin/relay/network_test.go
@@ -61,7 +61,7 @@
 					if err != nil {
 						return
 					}
-					go n.relay(c.(*net.TCPConn), target)
+					go n.relay(c.(*net.TCPConn), near, target)
 				}
 			}()
 			c := dialFrom(t, near, l.Addr().String())
--- /dev/null
+++ b/test/fault/harness/fleet.go
@@ -0,0 +1,250 @@
+package harness
+
+import (
+	"fmt"
+	"net"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"fulmarhinge/internal/config"
+	"fulmarhinge/internal/contract"
+	"fulmarhinge/standin/runlog"
+)
+
+// Options describe a fleet.
+type Options struct {
+	// Dir takes settings, logs and the logs of runs.
+	Dir      string
+	Binaries *Binaries
+	// Zones are the availability zones; node i is in zone i modulo their number.
+	Zones     []string
+	Nodes     int
+	Service   config.Service
+	Contracts []contract.Contract
+	// Slots is the number of requests that a backend server runs at a time.
+	Slots int
+	// Work is how long a request takes at a backend server.
+	Work  time.Duration
+	Lease *LeaseSettings
+}
+
+// Fleet is a set of running processes.
+type Fleet struct {
+	Options  Options
+	Nodes    []*Node
+	Platform *Process
+	Relay    *Process
+
+	pool         *addressPool
+	platformAddr string
+	relayAdmin   string
+	mu           sync.Mutex
+	avoided      map[*Node]bool
+}
+
+// Node is one VM: a node and the backend server beside it.
+type Node struct {
+	Name         string
+	Zone         string
+	IP           string
+	CallerAddr   string
+	OperatorAddr string
+	BackendAddr  string
+	// Node and Backend are the running processes.
+	Node    *Process
+	Backend *Process
+
+	peerListen     string
+	peerAdvertise  string
+	backendListen  string
+	platformListen string
+	settingsPath   string
+	runLog         string
+	backendRuns    int
+	killed         map[string]time.Time
+}
+
+// Start starts the platform, the relay, all nodes and their backend servers.
+// Stop must be called even if it fails.
+func Start(o Options) (*Fleet, error) {
+	f := &Fleet{Options: o, pool: newAddressPool(), avoided: make(map[*Node]bool)}
+	if err := f.plan(); err != nil {
+		return f, err
+	}
+	if err := f.startStandins(); err != nil {
+		return f, err
+	}
+	if err := f.configure(); err != nil {
+		return f, fmt.Errorf("configuration: %w", err)
+	}
+	for _, n := range f.Nodes {
+		if err := f.StartNode(n); err != nil {
+			return f, err
+		}
+		if err := f.StartBackend(n); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// plan chooses all addresses and writes the settings.
+func (f *Fleet) plan() error {
+	ip := f.pool.vmIP()
+	var err error
+	take := func(ip string) string {
+		address, takeErr := freeAddress(ip)
+		if takeErr != nil {
+			err = takeErr
+		}
+		return address
+	}
+	f.platformAddr = take(ip)
+	f.relayAdmin = take(ip)
+	for i := range f.Options.Nodes {
+		n := &Node{
+			Name:   fmt.Sprintf("node-%02d", i+1),
+			Zone:   f.Options.Zones[i%len(f.Options.Zones)],
+			IP:     f.pool.vmIP(),
+			killed: make(map[string]time.Time),
+		}
+		n.CallerAddr = take(n.IP)
+		n.OperatorAddr = take(n.IP)
+		n.BackendAddr = take(n.IP)
+		n.peerListen = take(n.IP)
+		n.backendListen = take(n.IP)
+		n.peerAdvertise = take(ip)
+		n.platformListen = take(ip)
+		n.settingsPath = filepath.Join(f.Options.Dir, n.Name+".json")
+		n.runLog = filepath.Join(f.Options.Dir, n.Name+".runs")
+		f.Nodes = append(f.Nodes, n)
+	}
+	if err != nil {
+		return err
+	}
+	for _, n := range f.Nodes {
+		if err := f.settings(n).write(n.settingsPath); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) settings(n *Node) nodeSettings {
+	return nodeSettings{
+		Fleet:    fleetName,
+		Name:     n.Name,
+		Zone:     n.Zone,
+		Region:   "region-1",
+		Caller:   listenSettings{n.CallerAddr},
+		Peer:     peerSettings{n.peerListen, n.peerAdvertise, n.IP},
+		Operator: listenSettings{n.OperatorAddr},
+		Backend:  listenSettings{n.backendListen},
+		Platform: platformSettings{[]string{"http://" + n.platformListen}},
+		Lease:    f.Options.Lease,
+	}
+}
+
+// startStandins starts the platform and the relay.
+func (f *Fleet) startStandins() error {
+	var err error
+	f.Platform, err = f.spawn("platform", programPlatform, "--listen", f.platformAddr)
+	if err != nil {
+		return err
+	}
+	args := []string{"--admin", f.relayAdmin}
+	for _, n := range f.Nodes {
+		args = append(args,
+			"--map", n.peerAdvertise+"="+n.peerListen,
+			"--map", n.platformListen+"="+f.platformAddr+"@"+n.IP)
+	}
+	f.Relay, err = f.spawn("relay", programRelay, args...)
+	if err != nil {
+		return err
+	}
+	const startTimeout = 5 * time.Second
+	for _, address := range []string{f.platformAddr, f.relayAdmin} {
+		if err := waitListening(address, startTimeout); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) spawn(name, program string, args ...string) (*Process, error) {
+	return spawn(f.Options.Dir, name, f.Options.Binaries.Path(program), args...)
+}
+
+// StartNode starts, or restarts, the node of a VM.
+func (f *Fleet) StartNode(n *Node) error {
+	p, err := f.spawn(n.Name, programNode, "node", "--settings", n.settingsPath)
+	n.Node = p
+	return err
+}
+
+// StartBackend starts, or restarts, the backend server of a VM. Each run of it
+// has an id of its own in the log.
+func (f *Fleet) StartBackend(n *Node) error {
+	s := f.Options.Service
+	n.backendRuns++
+	p, err := f.spawn(n.Name+"-backend", programBackend,
+		"--listen", n.BackendAddr,
+		"--announce", "http://"+n.backendListen,
+		"--server", n.serverID(),
+		"--service", s.Name,
+		"--slots", strconv.Itoa(f.Options.Slots),
+		"--connections", strconv.Itoa(5*f.Options.Slots),
+		"--divided="+strconv.FormatBool(s.DividedByKey),
+		"--checks-fence="+strconv.FormatBool(s.ChecksFence),
+		"--work", f.Options.Work.String(),
+		"--log", n.runLog)
+	n.Backend = p
+	return err
+}
+
+// serverID is the id of the present backend server in the log of runs.
+func (n *Node) serverID() string { return fmt.Sprintf("%s/%d", n.Name, n.backendRuns) }
+
+// waitListening polls until a connection to the address can be made.
+func waitListening(address string, timeout time.Duration) error {
+	const pause = 10 * time.Millisecond
+	deadline := time.Now().Add(timeout)
+	for {
+		c, err := net.DialTimeout("tcp", address, timeout)
+		if err == nil {
+			return c.Close()
+		}
+		if time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(pause)
+	}
+}
+
+// Stop kills every process that the fleet has started.
+func (f *Fleet) Stop() {
+	for _, n := range f.Nodes {
+		n.Node.Kill()
+		n.Backend.Kill()
+	}
+	f.Relay.Kill()
+	f.Platform.Kill()
+}
+
+// Evidence reads the logs of all backend servers.
+func (f *Fleet) Evidence(attempts []Attempt) (Evidence, error) {
+	e := Evidence{Attempts: attempts, Killed: make(map[string]time.Time), Collected: time.Now()}
+	for _, n := range f.Nodes {
+		records, err := runlog.Read(n.runLog)
+		if err != nil {
+			return e, err
+		}
+		e.Records = append(e.Records, records...)
+		for server, at := range n.killed {
+			e.Killed[server] = at
+		}
+	}
+	return e, nil
+}
