--- a/test/fault/harness/configure.go
+++ b/test/fault/harness/configure.go
@@ -31,9 +31,9 @@
 	if f.Options.Service.DividedByKey {
 		route.KeySegment = 2
 	}
-	edits := []config.Edit{config.SetService(0, f.Options.Service), config.SetRoute(0, route)}
+	edits := []config.Edit{config.Services.Set(0, f.Options.Service), config.Routes.Set(0, route)}
 	for _, c := range f.Options.Contracts {
-		edits = append(edits, config.SetContract(0, c))
+		edits = append(edits, config.Contracts.Set(0, c))
 	}
 	_, err := config.NewEditor(f.Store()).Apply(ctx, config.AnyRevision, config.All(edits...))
 	return err
