Measure placement against rendezvous hashing

Adds test/bench/placement, which writes a table and, with -out, JSON. Five fixed seeds, today's size (7 nodes, 3 zones, 112 shards) and the target (1,200 nodes, 24 zones, 19,200 shards): join, leave, zone loss, 79 hot keys.

The restart test swaps two owners first: without it, it passed even with the rule for restarts removed.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -162,6 +162,7 @@
 
 func TestRestartMovesNothingElse(t *testing.T) {
 	in := settled(9, 3, 144)
+	in.Shards[3].Owner, in.Shards[7].Owner = in.Shards[7].Owner, in.Shards[3].Owner
 	for _, i := range []int{3, 7} {
 		in.Nodes[i].Ref.Incarnation = 2
 	}
--- /dev/null
+++ b/test/bench/placement/main.go
@@ -0,0 +1,107 @@
+// Command placement measures the placement policy against rendezvous hashing:
+// imbalance and churn when nodes join, leave or are lost with their zone, and
+// when 79 keys turn hot. Seeds are fixed; only the times differ between runs.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"text/tabwriter"
+)
+
+// hotKeys is the number of keys that turn hot at once.
+const hotKeys = 79
+
+// sizes are the fleets that are measured: today's and the target.
+var sizes = []size{
+	{Name: "today", Nodes: 7, Zones: 3, Shards: 112, Rate: 3500},
+	{Name: "target", Nodes: 1200, Zones: 24, Shards: 19200, Rate: 4.2e6},
+}
+
+var scenarios = []scenario{
+	{"join", (*fleet).join},
+	{"leave", (*fleet).leave},
+	{"zone-loss", (*fleet).loseZone},
+	{"hot-keys", (*fleet).heatKeys},
+}
+
+var seeds = []int64{1, 2, 3, 4, 5}
+
+// result is one measured change of one fleet under one policy.
+type result struct {
+	Size     string `json:"size"`
+	Scenario string `json:"scenario"`
+	Policy   string `json:"policy"`
+	Seed     int64  `json:"seed"`
+	// ImbalanceBefore and ImbalanceAfter are max/mean of load per node, just
+	// after the change and after the policy has answered it.
+	ImbalanceBefore float64 `json:"imbalance_before"`
+	ImbalanceAfter  float64 `json:"imbalance_after"`
+	// Churn is the share of the load that changed its owner.
+	Churn float64 `json:"churn"`
+	// LeastChurn is a lower bound for a balance within placement.MaxImbalance:
+	// the load of lost owners and what the others have above that limit. It
+	// takes load as divisible, which shards are not.
+	LeastChurn float64 `json:"least_churn"`
+	Pins       int     `json:"pins"`
+	// SecondMoves is the number of moves in a second plan with the same load.
+	SecondMoves  int     `json:"second_moves"`
+	Milliseconds float64 `json:"milliseconds"`
+}
+
+func main() {
+	out := flag.String("out", "", "file for the results as JSON; none if empty")
+	flag.Parse()
+	results := measureAll()
+	printTable(results)
+	if *out == "" {
+		return
+	}
+	b, err := json.MarshalIndent(results, "", " ")
+	if err == nil {
+		err = os.WriteFile(*out, append(b, '\n'), 0o644)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "placement:", err)
+		os.Exit(1)
+	}
+}
+
+func measureAll() []result {
+	var results []result
+	for _, sz := range sizes {
+		for _, sc := range scenarios {
+			for _, p := range policies {
+				for _, seed := range seeds {
+					results = append(results, measure(sz, sc, p, seed))
+				}
+			}
+		}
+	}
+	return results
+}
+
+// printTable prints the worst value over the seeds for each combination.
+func printTable(results []result) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(w, "worst of %d seeds\tscenario\tpolicy\tbefore\tafter\tchurn\tleast\tpins\tsecond\tms\t\n", len(seeds))
+	for i := 0; i < len(results); i += len(seeds) {
+		worst := results[i]
+		for _, r := range results[i : i+len(seeds)] {
+			worst.ImbalanceBefore = max(worst.ImbalanceBefore, r.ImbalanceBefore)
+			worst.ImbalanceAfter = max(worst.ImbalanceAfter, r.ImbalanceAfter)
+			worst.Milliseconds = max(worst.Milliseconds, r.Milliseconds)
+			worst.SecondMoves = max(worst.SecondMoves, r.SecondMoves)
+			worst.Pins = max(worst.Pins, r.Pins)
+			if r.Churn-r.LeastChurn > worst.Churn-worst.LeastChurn {
+				worst.Churn, worst.LeastChurn = r.Churn, r.LeastChurn
+			}
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.3f\t%.3f\t%.5f\t%.5f\t%d\t%d\t%.1f\t\n", worst.Size, worst.Scenario, worst.Policy,
+			worst.ImbalanceBefore, worst.ImbalanceAfter, worst.Churn, worst.LeastChurn,
+			worst.Pins, worst.SecondMoves, worst.Milliseconds)
+	}
+	w.Flush()
+}
