--- /dev/null
+++ b/internal/peer/fuzz_test.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"bytes"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"fulmarhinge/internal/wire"
+)
+
+// FuzzControl feeds arbitrary bytes to the reader of control messages. What it
+// accepts must survive another round.
+func FuzzControl(f *testing.F) {
+	good, _ := appendSized(nil, renew(7), MaxControl)
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m wire.Control
+		if readSized(bytes.NewReader(b), &m, MaxControl) != nil {
+			return
+		}
+		again, err := appendSized(nil, &m, 2*MaxControl)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var n wire.Control
+		if err = readSized(bytes.NewReader(again), &n, 2*MaxControl); err != nil || !proto.Equal(&m, &n) {
+			t.Fatalf("second round gave %v, %v", &n, err)
+		}
+	})
+}
+
+// FuzzFrames feeds arbitrary bytes to the reader of traffic frames.
+func FuzzFrames(f *testing.F) {
+	b, _ := AppendFrame(nil, FrameHead, &wire.RequestHead{Id: "1", Method: "GET"})
+	b, _ = AppendFrame(b, FrameEnd, &wire.BodyEnd{Length: 0})
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := bytes.NewReader(b)
+		for {
+			kind, size, err := ReadFrameHeader(r)
+			if err != nil {
+				return
+			}
+			if size < 0 || size > kind.limit() {
+				t.Fatalf("accepted %d bytes of kind %d", size, kind)
+			}
+			var m wire.RequestHead
+			if err = ReadMessage(r, size, &m); err != nil {
+				return
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/transport_test.go
@@ -0,0 +1,174 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/wire"
+)
+
+// waitLimit is how long a test waits for something that should happen soon.
+const waitLimit = 5 * time.Second
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+type node struct {
+	*Transport
+	got chan *wire.Control
+	log *lockedBuffer
+}
+
+func start(t *testing.T, fleet, name string) *node {
+	t.Helper()
+	n := &node{got: make(chan *wire.Control, 100), log: &lockedBuffer{}}
+	cfg := Config{
+		Fleet: fleet, Self: cluster.MemberRef{Name: name, Incarnation: 1}, Listen: "127.0.0.1:0",
+		DialFrom: "127.0.0.1", Logger: hclog.New(&hclog.LoggerOptions{Output: n.log}),
+	}
+	n.Transport = New(cfg, func(_ cluster.MemberRef, m *wire.Control) { n.got <- m }, echo)
+	if err := n.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	go n.Serve(t.Context())
+	t.Cleanup(n.Close)
+	return n
+}
+
+func echo(_ context.Context, _ cluster.MemberRef, conn net.Conn) { _, _ = io.Copy(conn, conn) }
+
+func renew(seq uint64) *wire.Control {
+	return &wire.Control{Body: &wire.Control_Renew{Renew: &wire.Renew{Seq: seq}}}
+}
+
+// eventually polls until ok holds.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatal("did not happen: " + what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func receive(t *testing.T, n *node) *wire.Control {
+	t.Helper()
+	select {
+	case m := <-n.got:
+		return m
+	case <-time.After(waitLimit):
+		t.Fatal("no control message arrived")
+		return nil
+	}
+}
+
+func TestControlAndStreams(t *testing.T) {
+	a, b := start(t, "f", "a"), start(t, "f", "b")
+	for i := range uint64(3) {
+		a.Send(b.Addr(), renew(i))
+	}
+	for i := range uint64(3) {
+		if got := receive(t, b).GetRenew().GetSeq(); got != i {
+			t.Fatalf("message %d arrived as %d", i, got)
+		}
+	}
+	conn, err := a.Open(t.Context(), b.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err = conn.Write([]byte("whole")); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close()
+	if got, err := io.ReadAll(conn); err != nil || string(got) != "whole" {
+		t.Fatalf("stream gave %q, %v", got, err)
+	}
+	if s := a.Stats(); s.MessagesSent != 3 || s.BytesSent == 0 {
+		t.Fatalf("stats %+v", s)
+	}
+}
+
+func TestRefusesOtherFleetWithErrorInBothLogs(t *testing.T) {
+	a, b := start(t, "north", "a"), start(t, "south", "b")
+	if _, err := a.Open(t.Context(), b.Addr()); !ErrUnreachable.Has(err) {
+		t.Fatalf("Open gave %v", err)
+	}
+	for _, n := range []*node{a, b} {
+		eventually(t, "refusal in the log", func() bool {
+			return strings.Contains(n.log.String(), `belongs to fleet \"north\", this node to fleet \"south\"`)
+		})
+	}
+}
+
+func TestRefusesOtherProtocolVersion(t *testing.T) {
+	b := start(t, "f", "b")
+	conn, err := net.Dial("tcp", b.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	hello, _ := appendSized(nil, &wire.Hello{Protocol: wire.Protocol + 1, Fleet: "f", Name: "x", Session: "control"}, maxHello)
+	if _, err = conn.Write(hello); err != nil {
+		t.Fatal(err)
+	}
+	var reply wire.HelloReply
+	if err = readSized(conn, &reply, maxHello); err != nil || !strings.Contains(reply.Error, "protocol version 2") {
+		t.Fatalf("reply %q, %v", reply.Error, err)
+	}
+}
+
+func TestSendNeverBlocksAndRecovers(t *testing.T) {
+	a := start(t, "f", "a")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	_ = ln.Close()
+	began := time.Now()
+	for i := range uint64(2 * queueLength) {
+		a.Send(addr, renew(i))
+	}
+	if d := time.Since(began); d > time.Second {
+		t.Fatalf("sends took %v", d)
+	}
+	b := New(Config{Fleet: "f", Self: cluster.MemberRef{Name: "b"}, Listen: addr}, func(cluster.MemberRef, *wire.Control) {}, echo)
+	if err = b.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	go b.Serve(t.Context())
+	up := time.Now()
+	for b.Stats().MessagesReceived == 0 {
+		a.Send(addr, renew(0))
+		time.Sleep(5 * time.Millisecond)
+		if time.Since(up) > time.Second {
+			t.Fatal("the session did not recover within a second")
+		}
+	}
+}
