Serve callers through entry, peer stream and owner gate

The whole request path: route, contract, owner, stream or local hop, gate, backend server and back, with bodies streamed and an answer checked by length.

--- /dev/null
+++ b/internal/caller/harness_test.go
@@ -0,0 +1,217 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fulmarhinge/internal/backend"
+	"fulmarhinge/internal/clock"
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/config"
+	"fulmarhinge/internal/contract"
+	"fulmarhinge/internal/header"
+	"fulmarhinge/internal/peer"
+	"fulmarhinge/internal/result"
+	"fulmarhinge/internal/view"
+	"fulmarhinge/internal/wire"
+)
+
+const (
+	keyedService = "painel"
+	plainService = "arquivo"
+	testShards   = 8
+	longLease    = time.Hour
+)
+
+// freeAdmitter lets every request go on.
+type freeAdmitter struct{}
+
+func (freeAdmitter) Admit(context.Context, string, string) (func(), *result.Error) {
+	return func() {}, nil
+}
+
+// testNode is the traffic side of one node.
+type testNode struct {
+	name      string
+	src       *view.Source
+	gate      *backend.Gate
+	transport *peer.Transport
+	entry     *Server
+	runs      atomic.Int64
+	server    *httptest.Server
+	ann       backend.Announcement
+}
+
+// fleet is a few nodes that share one view.
+type fleet struct {
+	nodes []*testNode
+	cfg   *config.Config
+}
+
+func testConfig() *config.Config {
+	terms := contract.Terms{Rate: 1e6, Burst: 1e6, MaxWaiting: 100, MaxTime: contract.Duration(5 * time.Second)}
+	return &config.Config{
+		Revision: 1,
+		Services: map[string]config.Service{
+			keyedService: {Name: keyedService, DividedByKey: true, Shards: testShards, ChecksFence: true},
+			plainService: {Name: plainService},
+		},
+		Routes: map[string]config.Route{
+			"p": {Name: "p", PathPrefix: "/p/", Service: keyedService, CustomerHeader: "Customer", KeySegment: 2},
+			"a": {Name: "a", PathPrefix: "/a/", Service: plainService, CustomerHeader: "Customer"},
+			"x": {Name: "x", PathPrefix: "/x/", Service: "absent", CustomerHeader: "Customer"},
+		},
+		Contracts: map[string]contract.Contract{"acme": {Customer: "acme", Total: terms}},
+	}
+}
+
+// newFleet starts nodes whose backend servers run handler for service.
+func newFleet(t testing.TB, n int, service string, handler func(node *testNode) http.HandlerFunc) *fleet {
+	t.Helper()
+	f := &fleet{cfg: testConfig()}
+	for i := range n {
+		f.nodes = append(f.nodes, newTestNode(t, fmt.Sprintf("n%d", i), service, handler))
+	}
+	f.publish(func(int, *view.View) {})
+	return f
+}
+
+func newTestNode(t testing.TB, name, service string, handler func(node *testNode) http.HandlerFunc) *testNode {
+	t.Helper()
+	n := &testNode{name: name, src: &view.Source{}}
+	n.src.SetLease(clock.Now().Add(longLease))
+	log := hclog.NewNullLogger()
+	n.gate = backend.NewGate(n.src, log)
+	n.server = httptest.NewServer(handler(n))
+	t.Cleanup(n.server.Close)
+	n.ann = backend.Announcement{
+		Service: service, Address: n.server.Listener.Addr().String(), Slots: 50, Connections: 50, Ready: true,
+	}
+	n.gate.SetBackend(&n.ann)
+	self := cluster.MemberRef{Name: name, Incarnation: 1}
+	n.transport = peer.New(peer.Config{Fleet: "t", Self: self, Listen: "127.0.0.1:0"},
+		func(cluster.MemberRef, *wire.Control) {}, n.gate.ServeStream)
+	n.entry = New(Config{Listen: "127.0.0.1:0"}, n.src, n.transport, n.gate, freeAdmitter{}, log)
+	for _, listen := range []func() error{n.transport.Listen, n.entry.Listen} {
+		if err := listen(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	go n.transport.Serve(context.Background())
+	go n.entry.Serve()
+	t.Cleanup(func() {
+		n.transport.Close()
+		_ = n.entry.http.Close()
+	})
+	return n
+}
+
+// publish gives every node a view in which node 0 owns and serves all shards,
+// changed by edit.
+func (f *fleet) publish(edit func(i int, v *view.View)) {
+	for i := range f.nodes {
+		v := f.view(i)
+		edit(i, v)
+		f.nodes[i].src.Publish(v)
+	}
+}
+
+func (f *fleet) view(i int) *view.View {
+	owner := cluster.MemberRef{Name: f.nodes[0].name, Incarnation: 1}
+	v := &view.View{
+		Self: cluster.MemberRef{Name: f.nodes[i].name, Incarnation: 1}, Config: f.cfg, Admitting: true,
+		Members: map[string]*cluster.Member{}, Owned: map[cluster.Unit]view.Owned{},
+		Tables: map[string]*view.Table{keyedService: {Shards: make([]cluster.Assignment, testShards)}},
+	}
+	for _, n := range f.nodes {
+		v.Members[n.name] = &cluster.Member{
+			MemberRef: cluster.MemberRef{Name: n.name, Incarnation: 1}, State: cluster.StateActive,
+			PeerAddr: n.transport.Addr(), CallerAddr: n.entry.Addr(),
+			Backend: &cluster.BackendInfo{Service: n.ann.Service, Slots: n.ann.Slots, Ready: true},
+		}
+	}
+	for s := range testShards {
+		v.Tables[keyedService].Shards[s] = cluster.Assignment{Owner: owner, Epoch: 1}
+		if i == 0 {
+			v.Owned[cluster.Unit{Service: keyedService, Shard: s}] = view.Owned{State: view.Serving, Epoch: 1}
+		}
+	}
+	return v
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	code   result.Code
+	kind   string
+	body   string
+	header http.Header
+	err    error
+}
+
+var testClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+
+func (n *testNode) send(t testing.TB, method, path string, body io.Reader, headers ...string) reply {
+	t.Helper()
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+n.entry.Addr()+path, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Customer", "acme")
+	for i := 0; i < len(headers); i += 2 {
+		if req.Header.Set(headers[i], headers[i+1]); headers[i+1] == "" {
+			req.Header.Del(headers[i])
+		}
+	}
+	resp, err := testClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	r := reply{status: resp.StatusCode, body: string(b), header: resp.Header, err: err, kind: resp.Header.Get(header.Result)}
+	_, _ = fmt.Sscan(resp.Header.Get(header.Code), (*uint32)(&r.code))
+	return r
+}
+
+// refusal returns the JSON body of a refusal.
+func (r reply) refusal(t testing.TB) refusalBody {
+	t.Helper()
+	var b refusalBody
+	if err := json.Unmarshal([]byte(r.body), &b); err != nil {
+		t.Fatalf("%v in %q", err, r.body)
+	}
+	return b
+}
+
+// echoHandler answers with the request's method, path and body.
+func echoHandler(n *testNode) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n.runs.Add(1)
+		b, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.RequestURI(), b)
+	}
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatal("did not happen: " + what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func large(n int) io.Reader { return strings.NewReader(strings.Repeat("z", n)) }
--- /dev/null
+++ b/internal/caller/remote.go
@@ -0,0 +1,245 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"fulmarhinge/internal/backend"
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/peer"
+	"fulmarhinge/internal/result"
+	"fulmarhinge/internal/view"
+	"fulmarhinge/internal/wire"
+)
+
+const (
+	// answerGrace is how long the entry waits beyond the deadline for the
+	// owner to say whether the request ran.
+	answerGrace = 20 * time.Millisecond
+	// hopTime is taken off the deadline for the owner, so that its answer is
+	// here in time.
+	hopTime = 2 * time.Millisecond
+)
+
+var frames = sync.Pool{New: func() any { b := make([]byte, peer.FrameHeader+peer.MaxData); return &b }}
+
+func hostHeader(r *http.Request) *wire.Header {
+	return &wire.Header{Name: "Host", Value: r.Host}
+}
+
+// attempt sends the request to the gate of a member, here without a hop.
+func (s *Server) attempt(ctx context.Context, v *view.View, t *attempts, unit cluster.Unit, m *cluster.Member) *result.Error {
+	deadline, _ := ctx.Deadline()
+	head := t.request.head(v, unit, time.Until(deadline))
+	if m.Name == v.Self.Name {
+		return s.gate.Do(ctx, head, t.request.body.reader(), t.answer)
+	}
+	return s.forward(ctx, m.PeerAddr, head, t)
+}
+
+// forward sends the request over a stream of its own.
+func (s *Server) forward(ctx context.Context, addr string, head *wire.RequestHead, t *attempts) *result.Error {
+	conn, err := s.transport.Open(ctx, addr)
+	if err != nil {
+		if ctx.Err() != nil {
+			return ended(ctx, nil)
+		}
+		return result.New(result.PeerUnreachable)
+	}
+	defer conn.Close()
+	deadline, _ := ctx.Deadline()
+	_ = conn.SetDeadline(deadline.Add(answerGrace))
+	stop := context.AfterFunc(ctx, func() {
+		if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			_ = conn.SetDeadline(time.Now())
+		}
+	})
+	defer stop()
+	head.DeadlineMs = uint64(max((time.Until(deadline) - hopTime).Milliseconds(), 1))
+	x := &exchange{conn: conn, attempts: t, abort: make(chan struct{}), proceed: make(chan struct{})}
+	defer close(x.abort)
+	if err = x.send(head); err != nil {
+		return x.broken(ctx)
+	}
+	return x.receive(ctx)
+}
+
+// exchange is one request on one stream.
+type exchange struct {
+	conn     net.Conn
+	attempts *attempts
+	// proceed is closed when the owner wants the rest of the body, abort when
+	// the exchange is over.
+	proceed   chan struct{}
+	proceeded bool
+	abort     chan struct{}
+	received  uint64
+}
+
+// send writes the head, and starts the body if there is one.
+func (x *exchange) send(head *wire.RequestHead) error {
+	frame, err := peer.AppendFrame(nil, peer.FrameHead, head)
+	if err != nil {
+		return err
+	}
+	if head.GetContentLength() == 0 {
+		if frame, err = peer.AppendFrame(frame, peer.FrameEnd, &wire.BodyEnd{}); err != nil {
+			return err
+		}
+	}
+	if _, err = x.conn.Write(frame); err != nil {
+		return err
+	}
+	if head.GetContentLength() != 0 {
+		body := x.attempts.request.body.reader()
+		body.abort = x.abort
+		if !backend.FitsReplay(head.GetContentLength()) {
+			body.held = x.proceed
+		}
+		go x.pump(body)
+	}
+	return nil
+}
+
+// pump sends the body until it ends or the stream breaks.
+func (x *exchange) pump(body io.Reader) {
+	buf := frames.Get().(*[]byte)
+	defer frames.Put(buf)
+	end := &wire.BodyEnd{}
+	for {
+		n, err := body.Read((*buf)[peer.FrameHeader:])
+		if n > 0 {
+			peer.PutFrameHeader(*buf, peer.FrameData, n)
+			if _, werr := x.conn.Write((*buf)[:peer.FrameHeader+n]); werr != nil {
+				return
+			}
+			end.Length += uint64(n)
+		}
+		if err == nil {
+			continue
+		}
+		if err != io.EOF {
+			end.Code = uint32(bodyCode(err))
+		}
+		break
+	}
+	if frame, err := peer.AppendFrame(nil, peer.FrameEnd, end); err == nil {
+		_, _ = x.conn.Write(frame)
+	}
+}
+
+func bodyCode(err error) result.Code {
+	var bodyErr *backend.BodyError
+	if errors.As(err, &bodyErr) {
+		return bodyErr.Code
+	}
+	return result.CancelledBefore
+}
+
+// receive passes the answer on. The head is judged before the caller sees
+// anything of it, so a refusal can lead to another attempt.
+func (x *exchange) receive(ctx context.Context) *result.Error {
+	buf := frames.Get().(*[]byte)
+	defer frames.Put(buf)
+	for {
+		kind, size, err := peer.ReadFrameHeader(x.conn)
+		if err != nil {
+			return x.broken(ctx)
+		}
+		switch kind {
+		case peer.FrameContinue:
+			x.proceedOnce()
+		case peer.FrameHead:
+			if refusal := x.head(ctx, size); refusal != nil {
+				return refusal
+			}
+		case peer.FrameData:
+			if refusal := x.data(ctx, (*buf)[:size]); refusal != nil {
+				return refusal
+			}
+		case peer.FrameEnd:
+			return x.end(ctx, size)
+		}
+	}
+}
+
+func (x *exchange) proceedOnce() {
+	if !x.proceeded {
+		x.proceeded = true
+		close(x.proceed)
+	}
+}
+
+func (x *exchange) head(ctx context.Context, size int) *result.Error {
+	var h wire.ResponseHead
+	if err := peer.ReadMessage(x.conn, size, &h); err != nil {
+		return x.broken(ctx)
+	}
+	if h.GetId() != x.attempts.request.id {
+		return result.Errorf(result.AnswerCut, "The owner's node sent the answer of another request.")
+	}
+	if c := result.Code(h.GetCode()); c != result.OK {
+		return &result.Error{
+			Code: c, Message: h.GetMessage(),
+			RetryAfter: time.Duration(h.GetRetryAfterMs()) * time.Millisecond,
+		}
+	}
+	if err := x.attempts.answer.Head(&h); err != nil {
+		return result.Errorf(result.AnswerCut, "The owner's node sent a malformed answer.")
+	}
+	return nil
+}
+
+func (x *exchange) data(ctx context.Context, p []byte) *result.Error {
+	if _, err := io.ReadFull(x.conn, p); err != nil {
+		return x.broken(ctx)
+	}
+	if !x.attempts.answer.started {
+		return result.Errorf(result.AnswerCut, "The owner's node sent a body without a head.")
+	}
+	x.received += uint64(len(p))
+	if _, err := x.attempts.answer.Write(p); err != nil {
+		return result.New(result.CancelledAfter)
+	}
+	return nil
+}
+
+// end checks that the answer is whole.
+func (x *exchange) end(ctx context.Context, size int) *result.Error {
+	var end wire.BodyEnd
+	if err := peer.ReadMessage(x.conn, size, &end); err != nil {
+		return x.broken(ctx)
+	}
+	if c := result.Code(end.GetCode()); result.Lookup(c).Kind == result.NotRun {
+		// What has begun to answer has run.
+		return result.New(result.AnswerCut)
+	} else if c != 0 {
+		return result.New(c)
+	}
+	a := x.attempts.answer
+	short := a.length >= 0 && a.method != http.MethodHead && x.received != uint64(a.length)
+	if !a.started || end.GetLength() != x.received || short {
+		return result.New(result.AnswerCut)
+	}
+	return nil
+}
+
+// broken classifies a stream that ended early. Its head was sent, so the
+// request may have run.
+func (x *exchange) broken(ctx context.Context) *result.Error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result.New(result.DeadlineAfter)
+	case ctx.Err() != nil:
+		return result.New(result.CancelledAfter)
+	default:
+		return result.New(result.OwnerLost)
+	}
+}
+
+var _ backend.ResponseSink = (*answer)(nil)
--- /dev/null
+++ b/internal/caller/request.go
@@ -0,0 +1,135 @@
+package caller
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/config"
+	"fulmarhinge/internal/header"
+	"fulmarhinge/internal/result"
+	"fulmarhinge/internal/view"
+	"fulmarhinge/internal/wire"
+)
+
+// request is what the entry knows of a caller's request.
+type request struct {
+	id       string
+	service  config.Service
+	customer string
+	key      string
+	// maxTime is how long the request may take in all.
+	maxTime time.Duration
+	// maxWaiting is how many requests of the customer may wait here.
+	maxWaiting int
+	// idempotent is true if running it twice does no harm.
+	idempotent bool
+	http       *http.Request
+	body       *replayBody
+	headers    []*wire.Header
+}
+
+// Methods that may run more than once without a further effect.
+var idempotentMethods = map[string]bool{
+	http.MethodGet: true, http.MethodHead: true, http.MethodOptions: true,
+	http.MethodPut: true, http.MethodDelete: true,
+}
+
+// parse finds service, customer and key, and checks the request's bounds.
+func (s *Server) parse(v *view.View, r *http.Request) (*request, *result.Error) {
+	if refusal := s.checkBounds(r); refusal != nil {
+		return nil, refusal
+	}
+	route := s.table(v.Config).match(r.Host, r.URL.Path)
+	if route == nil {
+		return nil, result.Errorf(result.NoRoute, "No route matches host %q and path %q.", r.Host, clip(r.URL.Path))
+	}
+	svc, ok := v.Config.Services[route.Service]
+	if !ok {
+		return nil, result.Errorf(result.NoService, "Route %s names service %s, which is not configured.", route.Name, route.Service)
+	}
+	q := &request{service: svc, http: r, idempotent: idempotentMethods[r.Method]}
+	q.customer = r.Header.Get(route.CustomerHeader)
+	if q.customer == "" {
+		return nil, result.Errorf(result.MissingCustomer, "The header %s, which names the customer, is missing.", route.CustomerHeader)
+	}
+	ct, ok := v.Config.Contracts[q.customer]
+	if !ok {
+		return nil, result.Errorf(result.UnknownCustomer, "No contract exists for customer %q.", clip(q.customer))
+	}
+	if svc.DividedByKey {
+		q.key = segment(r, route.KeySegment)
+		if q.key == "" {
+			return nil, result.Errorf(result.MissingKey, "Segment %d of the path, which is the key, is missing.", route.KeySegment)
+		}
+	}
+	q.maxTime = ct.MaxTime(svc.Name)
+	q.maxWaiting = ct.Total.MaxWaiting
+	if t, ok := ct.Services[svc.Name]; ok {
+		q.maxWaiting = min(q.maxWaiting, t.MaxWaiting)
+	}
+	return q, q.readTimeout(r)
+}
+
+// readTimeout lowers the time that the request may take to what the caller
+// asks for.
+func (q *request) readTimeout(r *http.Request) *result.Error {
+	text := r.Header.Get(header.RequestTimeoutMs)
+	if text == "" {
+		return nil
+	}
+	ms, err := strconv.ParseUint(text, 10, 31)
+	if err != nil || ms == 0 {
+		return result.Errorf(result.BadRequest, "The header %s must be a number of milliseconds above 0.", header.RequestTimeoutMs)
+	}
+	q.maxTime = min(q.maxTime, time.Duration(ms)*time.Millisecond)
+	return nil
+}
+
+// checkBounds refuses what is too large, or what can't be passed on.
+func (s *Server) checkBounds(r *http.Request) *result.Error {
+	size := len(r.Method) + len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	switch {
+	case size > s.cfg.Limits.MaxHeader:
+		return result.Errorf(result.HeaderTooLarge, "The header has %d bytes, the limit is %d.", size, s.cfg.Limits.MaxHeader)
+	case r.ContentLength > s.cfg.Limits.MaxBody:
+		return result.Errorf(result.BodyTooLarge, "The body has %d bytes, the limit is %d.", r.ContentLength, s.cfg.Limits.MaxBody)
+	case r.URL.Path == "" || r.URL.Path[0] != '/':
+		return result.Errorf(result.BadRequest, "The request target must be a path.")
+	case r.Method == http.MethodConnect:
+		return result.Errorf(result.BadRequest, "The method CONNECT is not supported.")
+	default:
+		return nil
+	}
+}
+
+// clipLength bounds what a refusal repeats of a request.
+const clipLength = 80
+
+func clip(s string) string {
+	if len(s) > clipLength {
+		return s[:clipLength] + "..."
+	}
+	return s
+}
+
+// head returns the head that goes to a gate.
+func (q *request) head(v *view.View, unit cluster.Unit, left time.Duration) *wire.RequestHead {
+	shard := int32(-1)
+	if q.service.DividedByKey {
+		shard = int32(unit.Shard)
+	}
+	return &wire.RequestHead{
+		Id: q.id, Method: q.http.Method, Path: q.http.URL.RequestURI(), Headers: q.headers,
+		Service: q.service.Name, Customer: q.customer, Key: q.key, Shard: shard,
+		IdempotencyKey: q.http.Header.Get(header.IdempotencyKey),
+		DeadlineMs:     uint64(max(left.Milliseconds(), 1)),
+		ContentLength:  q.http.ContentLength, ConfigRevision: v.Config.Revision,
+	}
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,145 @@
+// Package caller is the entry of a node: it takes HTTP requests of callers,
+// finds service, customer and key, holds the customer to its contract, and
+// sends the request to the owner's gate, here or at a peer.
+package caller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fulmarhinge/internal/backend"
+	"fulmarhinge/internal/limit"
+	"fulmarhinge/internal/peer"
+	"fulmarhinge/internal/view"
+	"fulmarhinge/internal/waitroom"
+)
+
+// Limits bound what one caller may use. A zero field takes its default.
+type Limits struct {
+	// MaxHeader is the size in bytes of the request line and header.
+	MaxHeader int
+	// MaxBody is the size in bytes of a request body.
+	MaxBody int64
+	// HeaderTime bounds how long a caller takes to send its header.
+	HeaderTime time.Duration
+	// BodyPause bounds the time between two pieces of a request body.
+	BodyPause time.Duration
+	// Idle bounds how long a connection stays open between requests.
+	Idle time.Duration
+}
+
+// Defaults of Limits.
+const (
+	DefaultMaxHeader  = 64 << 10
+	DefaultMaxBody    = 4 << 30
+	DefaultHeaderTime = 5 * time.Second
+	DefaultBodyPause  = 10 * time.Second
+	DefaultIdle       = 2 * time.Minute
+)
+
+// headerSlack is how far net/http's own limit lies above MaxHeader, so that
+// most oversized headers get a refusal with a result code.
+const headerSlack = 4
+
+func (l Limits) withDefaults() Limits {
+	if l.MaxHeader == 0 {
+		l.MaxHeader = DefaultMaxHeader
+	}
+	if l.MaxBody == 0 {
+		l.MaxBody = DefaultMaxBody
+	}
+	if l.HeaderTime == 0 {
+		l.HeaderTime = DefaultHeaderTime
+	}
+	if l.BodyPause == 0 {
+		l.BodyPause = DefaultBodyPause
+	}
+	if l.Idle == 0 {
+		l.Idle = DefaultIdle
+	}
+	return l
+}
+
+// Config says where callers are served.
+type Config struct {
+	// Listen is the IP:port for callers.
+	Listen string
+	Limits Limits
+}
+
+// Server is the entry of a node.
+type Server struct {
+	cfg       Config
+	src       *view.Source
+	transport *peer.Transport
+	gate      *backend.Gate
+	admitter  limit.Admitter
+	log       hclog.Logger
+	http      *http.Server
+	ln        net.Listener
+
+	requestSeq atomic.Uint64
+	routes     atomic.Pointer[routeTable]
+	pool       *pool
+	budget     *budget
+	room       *waitroom.Room
+}
+
+// New returns an entry that is not listening yet.
+func New(cfg Config, src *view.Source, transport *peer.Transport, gate *backend.Gate,
+	admitter limit.Admitter, logger hclog.Logger) *Server {
+	cfg.Limits = cfg.Limits.withDefaults()
+	s := &Server{
+		cfg: cfg, src: src, transport: transport, gate: gate, admitter: admitter,
+		log: logger.Named("caller"), pool: newPool(), budget: newBudget(), room: waitroom.New(),
+	}
+	s.http = &http.Server{
+		Handler:           s,
+		MaxHeaderBytes:    cfg.Limits.MaxHeader * headerSlack,
+		ReadHeaderTimeout: cfg.Limits.HeaderTime,
+		IdleTimeout:       cfg.Limits.Idle,
+		ErrorLog:          s.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	return s
+}
+
+// Listen binds the address.
+func (s *Server) Listen() error {
+	ln, err := net.Listen("tcp", s.cfg.Listen)
+	s.ln = ln
+	return err
+}
+
+// Addr returns the bound address.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Serve answers callers until Shutdown.
+func (s *Server) Serve() error {
+	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Shutdown accepts no more connections and waits until every request has ended
+// or ctx ends; in the latter case the remaining ones are cut.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		_ = s.http.Close()
+	}
+	return err
+}
+
+// nextID returns a request id that is unique in the fleet.
+func (s *Server) nextID(v *view.View) string {
+	id := v.Self.Name + "." + strconv.FormatUint(v.Self.Incarnation, 36)
+	return id + "." + strconv.FormatUint(s.requestSeq.Add(1), 36)
+}
