--- a/internal/caller/serve_test.go
+++ b/internal/caller/serve_test.go
@@ -73,7 +73,7 @@
 
 func TestPendingUnitDelaysInsteadOfRefusing(t *testing.T) {
 	f := newFleet(t, 2, keyedService, echoHandler)
-	pending := func(i int, v *view.View) {
+	pending := func(_ int, v *view.View) {
 		for u := range v.Owned {
 			v.Owned[u] = view.Owned{State: view.Pending, Epoch: 1}
 		}
@@ -95,7 +95,7 @@
 func TestMovedAndLapsedRequestsFollowTheOwner(t *testing.T) {
 	f := newFleet(t, 2, keyedService, echoHandler)
 	// The entry still sees the old owner, which has stopped.
-	f.publish(func(i int, v *view.View) {
+	f.publish(func(_ int, v *view.View) {
 		for u := range v.Owned {
 			v.Owned[u] = view.Owned{State: view.Stopping, Epoch: 1}
 		}
@@ -155,7 +155,7 @@
 func TestDeadlineAndCancellationReachTheBackendServer(t *testing.T) {
 	ended := make(chan string, 10)
 	f := newFleet(t, 2, keyedService, func(n *testNode) http.HandlerFunc {
-		return func(w http.ResponseWriter, r *http.Request) {
+		return func(_ http.ResponseWriter, r *http.Request) {
 			n.runs.Add(1)
 			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
@@ -180,7 +180,7 @@
 
 func TestPlainServiceAvoidsFailingServer(t *testing.T) {
 	f := newFleet(t, 3, plainService, func(n *testNode) http.HandlerFunc {
-		return func(w http.ResponseWriter, r *http.Request) {
+		return func(w http.ResponseWriter, _ *http.Request) {
 			n.runs.Add(1)
 			if n.name == "n1" {
 				w.Header().Set(header.Shed, "1")
