Test the owner gate

Hand-over against racing requests, the lease check in front of the first byte, one dispatch only, refusals that ran nothing, abandoned runs, fair slots, hot keys.

--- /dev/null
+++ b/internal/backend/gate_test.go
@@ -0,0 +1,438 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fulmarhinge/internal/clock"
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/config"
+	"fulmarhinge/internal/contract"
+	"fulmarhinge/internal/header"
+	"fulmarhinge/internal/result"
+	"fulmarhinge/internal/view"
+	"fulmarhinge/internal/wire"
+)
+
+var testUnit = cluster.Unit{Service: "painel", Shard: 0}
+
+// memorySink keeps an answer.
+type memorySink struct {
+	head *wire.ResponseHead
+	body bytes.Buffer
+}
+
+func (s *memorySink) Dispatched()                     {}
+func (s *memorySink) Head(h *wire.ResponseHead) error { s.head = h; return nil }
+func (s *memorySink) Write(p []byte) (int, error)     { return s.body.Write(p) }
+
+type gateTest struct {
+	*Gate
+	src    *view.Source
+	server *httptest.Server
+	runs   atomic.Int64
+}
+
+func newGateTest(t testing.TB, handler http.HandlerFunc) *gateTest {
+	t.Helper()
+	g := &gateTest{src: &view.Source{}}
+	g.Gate = NewGate(g.src, hclog.NewNullLogger())
+	g.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.runs.Add(1)
+		handler(w, r)
+	}))
+	t.Cleanup(g.server.Close)
+	g.SetBackend(&Announcement{
+		Service: "painel", Address: g.server.Listener.Addr().String(), Slots: 4, Connections: 4, Ready: true,
+	})
+	g.src.SetLease(clock.Now().Add(time.Hour))
+	g.publish(view.Serving, 7)
+	return g
+}
+
+// publish makes a view in which this node has the only shard in a state.
+func (g *gateTest) publish(state view.UnitState, epoch uint64) {
+	terms := contract.Terms{MaxWaiting: 2, MaxTime: contract.Duration(time.Minute)}
+	self := cluster.MemberRef{Name: "n", Incarnation: 1}
+	g.src.Publish(&view.View{
+		Self: self, Admitting: true,
+		Config: &config.Config{
+			Services:  map[string]config.Service{"painel": {Name: "painel", DividedByKey: true, Shards: 1}},
+			Contracts: map[string]contract.Contract{"acme": {Customer: "acme", Total: terms}},
+		},
+		Tables: map[string]*view.Table{"painel": {Shards: []cluster.Assignment{{Owner: self, Epoch: epoch}}}},
+		Owned:  map[cluster.Unit]view.Owned{testUnit: {State: state, Epoch: epoch}},
+	})
+}
+
+func post(id string) *wire.RequestHead {
+	return &wire.RequestHead{
+		Id: id, Method: "POST", Path: "/p/k", Service: "painel", Customer: "acme", Key: "k", DeadlineMs: 2000,
+	}
+}
+
+func (g *gateTest) do(head *wire.RequestHead) (*memorySink, *result.Error) {
+	s := &memorySink{}
+	return s, g.Do(context.Background(), head, strings.NewReader(""), s)
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatal("did not happen: " + what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func codeOf(e *result.Error) result.Code {
+	if e == nil {
+		return result.OK
+	}
+	return e.Code
+}
+
+func TestFenceHeaders(t *testing.T) {
+	var got http.Header
+	g := newGateTest(t, func(_ http.ResponseWriter, r *http.Request) { got = r.Header.Clone() })
+	head := post("r1")
+	head.Headers = []*wire.Header{{Name: "Idempotency-Key", Value: "i"}}
+	if s, err := g.do(head); err != nil || s.head.GetId() != "r1" {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]string{
+		header.Unit: "painel/0", header.Epoch: "7", header.RequestID: "r1", header.Customer: "acme",
+		header.Key: "k", header.IdempotencyKey: "i", header.LeaseUntil: fmt.Sprint(int64(g.src.LeaseUntil())),
+	} {
+		if got.Get(name) != want {
+			t.Errorf("%s is %q, want %q", name, got.Get(name), want)
+		}
+	}
+}
+
+func TestGateRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(g *gateTest)
+		want    result.Code
+		ran     int64
+	}{
+		{"stopping", func(g *gateTest) { g.publish(view.Stopping, 7) }, result.Moved, 0},
+		{"lease lapsed", func(g *gateTest) { g.src.SetLease(clock.Now()) }, result.LeaseLapsed, 0},
+		{"backend server withdrawn", func(g *gateTest) { g.SetBackend(nil) }, result.BackendNotReady, 0},
+		{"backend server unreachable", func(g *gateTest) { g.server.Close() }, result.BackendUnreachable, 0},
+		{"no configuration", func(g *gateTest) { g.src.Publish(&view.View{}) }, result.NotAdmitting, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGateTest(t, func(http.ResponseWriter, *http.Request) {})
+			c.prepare(g)
+			if _, err := g.do(post("r")); codeOf(err) != c.want || g.runs.Load() != c.ran {
+				t.Fatalf("got %d with %d runs", codeOf(err), g.runs.Load())
+			}
+			if g.InFlight(testUnit) != 0 || g.Total() != 0 {
+				t.Fatal("a refused request is still counted")
+			}
+		})
+	}
+}
+
+func TestServerRefusalsAreNotRun(t *testing.T) {
+	for _, c := range []struct {
+		name, header, value string
+		status              int
+		want                result.Code
+	}{
+		{"shed", header.Shed, "1", 503, result.BackendShed},
+		{"stale fence", header.Fence, header.FenceStale, 409, result.StaleFence},
+		{"plain 503 is an answer", "X", "1", 503, result.OK},
+		{"plain 409 is an answer", "X", "1", 409, result.OK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGateTest(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(c.header, c.value)
+				w.WriteHeader(c.status)
+			})
+			if _, err := g.do(post("r")); codeOf(err) != c.want {
+				t.Fatalf("got %d", codeOf(err))
+			}
+		})
+	}
+}
+
+func TestLeaseThatLapsesDuringTheRunMakesTheOutcomeUnknown(t *testing.T) {
+	var g *gateTest
+	g = newGateTest(t, func(http.ResponseWriter, *http.Request) { g.src.SetLease(clock.Now()) })
+	if _, err := g.do(post("r")); codeOf(err) != result.LeaseLapsedDuring || g.runs.Load() != 1 {
+		t.Fatalf("got %d", codeOf(err))
+	}
+}
+
+// A dispatch is checked after the connection was made, however long that took.
+func TestLeaseIsCheckedInFrontOfTheFirstByte(t *testing.T) {
+	g := newGateTest(t, func(http.ResponseWriter, *http.Request) {})
+	r := &run{gate: g.Gate, head: post("r"), sink: &memorySink{}, keyed: true}
+	g.src.SetLease(clock.Now())
+	c := &guardedConn{}
+	c.run.Store(r)
+	if n, err := c.Write([]byte("x")); n != 0 || err != errLapsed {
+		t.Fatalf("wrote %d, %v", n, err)
+	}
+}
+
+func TestOnlyOneDispatch(t *testing.T) {
+	g := newGateTest(t, func(http.ResponseWriter, *http.Request) {})
+	r := &run{gate: g.Gate, head: post("r"), sink: &memorySink{}, keyed: true}
+	first, second := &guardedConn{}, &guardedConn{}
+	if err := r.beforeWrite(first); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.beforeWrite(first); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.beforeWrite(second); !errSealed.Has(err) {
+		t.Fatalf("a second dispatch was let through: %v", err)
+	}
+}
+
+// The server closes each connection after it has read the request, so net/http
+// would send a request with an Idempotency-Key again on a connection that was
+// used before.
+func TestNoHiddenRetryOfNetHTTP(t *testing.T) {
+	cut := atomic.Bool{}
+	g := newGateTest(t, func(http.ResponseWriter, *http.Request) {
+		if cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	if _, err := g.do(post("warm")); err != nil {
+		t.Fatal(err)
+	}
+	cut.Store(true)
+	head := post("r")
+	head.Headers = []*wire.Header{{Name: "Idempotency-Key", Value: "i"}}
+	_, err := g.do(head)
+	if codeOf(err) != result.AnswerCut || g.runs.Load() != 2 {
+		t.Fatalf("got %d with %d runs", codeOf(err), g.runs.Load())
+	}
+}
+
+func TestPendingWaitsWithinTheContract(t *testing.T) {
+	g := newGateTest(t, func(http.ResponseWriter, *http.Request) {})
+	g.publish(view.Pending, 7)
+	codes := make(chan result.Code, 3)
+	for i := range 3 {
+		go func() {
+			_, err := g.do(post(fmt.Sprint(i)))
+			codes <- codeOf(err)
+		}()
+	}
+	if c := <-codes; c != result.WaitingFull {
+		t.Fatalf("the third request got %d", c)
+	}
+	if g.InFlight(testUnit) != 0 {
+		t.Fatal("a waiting request counts as in flight")
+	}
+	g.publish(view.Serving, 7)
+	for range 2 {
+		if c := <-codes; c != result.OK {
+			t.Fatalf("a waiting request got %d", c)
+		}
+	}
+}
+
+func TestInFlightCountsPinnedKeyThatCameThroughItsShard(t *testing.T) {
+	release := make(chan struct{})
+	g := newGateTest(t, func(http.ResponseWriter, *http.Request) { <-release })
+	done := make(chan struct{})
+	go func() { defer close(done); _, _ = g.do(post("r")) }()
+	eventually(t, "the request runs", func() bool { return g.runs.Load() == 1 })
+	pin := cluster.Unit{Service: "painel", Shard: 0, Key: "k"}
+	other := cluster.Unit{Service: "painel", Shard: 0, Key: "other"}
+	if g.InFlight(pin) != 1 || g.InFlight(other) != 0 || g.InFlight(testUnit) != 1 {
+		t.Fatalf("counts %d %d %d", g.InFlight(pin), g.InFlight(other), g.InFlight(testUnit))
+	}
+	close(release)
+	<-done
+	if g.InFlight(pin) != 0 || g.InFlight(testUnit) != 0 {
+		t.Fatal("counts remain")
+	}
+}
+
+func TestAbandonedRunHoldsItsUnitUntilTheDeadline(t *testing.T) {
+	release := make(chan struct{})
+	g := newGateTest(t, func(http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	ctx, cancel := context.WithCancel(context.Background())
+	codes := make(chan result.Code, 1)
+	head := post("r")
+	head.DeadlineMs = 500
+	go func() { codes <- codeOf(g.Do(ctx, head, strings.NewReader(""), &memorySink{})) }()
+	eventually(t, "the request runs", func() bool { return g.runs.Load() == 1 })
+	cancel()
+	if c := <-codes; c != result.CancelledAfter {
+		t.Fatalf("got %d", c)
+	}
+	if g.InFlight(testUnit) != 1 {
+		t.Fatal("the unit could be handed over while the backend server may still run the request")
+	}
+	eventually(t, "the unit is free", func() bool { return g.InFlight(testUnit) == 0 })
+}
+
+// Requests race with a hand-over. After the view says Stopping and the count is
+// zero, no request may reach the backend server.
+func TestNoDispatchAfterStoppingAndZero(t *testing.T) {
+	var stopped atomic.Bool
+	var late atomic.Int64
+	g := newGateTest(t, func(http.ResponseWriter, *http.Request) {
+		if stopped.Load() {
+			late.Add(1)
+		}
+	})
+	for epoch := uint64(1); epoch <= 20; epoch++ {
+		stopped.Store(false)
+		g.publish(view.Serving, epoch)
+		var wg sync.WaitGroup
+		for i := range 16 {
+			wg.Add(1)
+			go func() { defer wg.Done(); _, _ = g.do(post(fmt.Sprint(i))) }()
+		}
+		g.publish(view.Stopping, epoch)
+		eventually(t, "nothing is in flight", func() bool { return g.InFlight(testUnit) == 0 })
+		stopped.Store(true)
+		wg.Wait()
+	}
+	if late.Load() != 0 {
+		t.Fatalf("%d requests were dispatched after the unit was released", late.Load())
+	}
+}
+
+func TestAnnouncements(t *testing.T) {
+	seen := make(chan *Announcement, 10)
+	l := NewListener("127.0.0.1:0", hclog.NewNullLogger(), func(a *Announcement) { seen <- a })
+	l.silence = 50 * time.Millisecond
+	if err := l.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	go l.Serve(t.Context())
+	good := Announcement{Service: "painel", Address: "127.0.0.1:1", Slots: 2, Connections: 2, Ready: true}
+	send := func(v any) int {
+		b, _ := json.Marshal(v)
+		resp, err := http.Post("http://"+l.Addr()+AnnouncePath, "application/json", bytes.NewReader(b))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode
+	}
+	bad := good
+	bad.Address = "localhost:1"
+	for _, v := range []any{bad, Announcement{}, map[string]any{"service": "x", "extra": 1}} {
+		if status := send(v); status != http.StatusBadRequest {
+			t.Errorf("%v got status %d", v, status)
+		}
+	}
+	for range 3 {
+		if status := send(good); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+	}
+	if a := <-seen; a == nil || *a != good {
+		t.Fatalf("announced %v", a)
+	}
+	if a := <-seen; a != nil {
+		t.Fatalf("a repetition was taken for a change: %v", a)
+	}
+}
+
+func TestSlotsServeCustomersInTurn(t *testing.T) {
+	s := newSlots(1)
+	if !s.acquire(context.Background(), "a") {
+		t.Fatal("no free slot")
+	}
+	var mu sync.Mutex
+	var order []string
+	var wg sync.WaitGroup
+	wait := func(customer string, n int64) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if s.acquire(context.Background(), customer) {
+				mu.Lock()
+				order = append(order, customer)
+				mu.Unlock()
+				s.release()
+			}
+		}()
+		eventually(t, "the request waits", func() bool { return s.waiting.Load() == n })
+	}
+	for i := range int64(5) {
+		wait("a", i+1)
+	}
+	wait("b", 6)
+	s.release()
+	wg.Wait()
+	if order[1] != "b" || len(order) != 6 {
+		t.Fatalf("served in the order %v", order)
+	}
+	if s.used.Load() != 0 || s.waiting.Load() != 0 || len(s.queues) != 0 {
+		t.Fatal("slots or waiters are left")
+	}
+}
+
+func TestSlotsAbandonedWaitersLeaveNothing(t *testing.T) {
+	s := newSlots(2)
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(i%7)*time.Millisecond)
+			defer cancel()
+			if s.acquire(ctx, fmt.Sprint(i%5)) {
+				time.Sleep(time.Millisecond)
+				s.release()
+			}
+		}()
+	}
+	wg.Wait()
+	if s.used.Load() != 0 || s.waiting.Load() != 0 || len(s.queues) != 0 || len(s.ring) != 0 {
+		t.Fatalf("left over: used %d waiting %d", s.used.Load(), s.waiting.Load())
+	}
+}
+
+func TestLoadsFindHotKeysInBoundedMemory(t *testing.T) {
+	l := newLoads()
+	for i := range 20000 {
+		l.add(testUnit, fmt.Sprintf("cold%d", i))
+		if i%20 == 0 {
+			l.add(testUnit, "hot")
+		}
+	}
+	got := l.take()
+	if got.Total != 21000 || len(got.Units) != 1 || len(got.Keys) > reportedKeys {
+		t.Fatalf("total %d, %d units, %d keys", got.Total, len(got.Units), len(got.Keys))
+	}
+	found := false
+	for _, k := range got.Keys {
+		found = found || k.Key == "hot" && k.Count >= 1000 && k.Count-k.Error <= 1000
+	}
+	if !found {
+		t.Fatal("the hot key was not found")
+	}
+	if again := l.take(); again.Total != 0 {
+		t.Fatal("counts were not started anew")
+	}
+}
