Select the events of the nodes that recorded a unit's events, too

Cause: a unit's events are recorded by its owner, which names itself only as the recorder, so its lease events were left out of a key's time line.

--- a/internal/timeline/merge.go
+++ b/internal/timeline/merge.go
@@ -46,8 +46,11 @@
 	owners := map[cluster.MemberRef]bool{}
 	if f.byUnit() {
 		for _, e := range events {
-			if e.Unit != nil && f.matchUnit(*e.Unit) && e.Member != nil {
-				owners[*e.Member] = true
+			if e.Unit != nil && f.matchUnit(*e.Unit) {
+				// A unit's events are recorded by the node that owns or owned
+				// it; the member is an earlier or a later owner.
+				owners[e.Node] = true
+				owners[subject(e)] = true
 			}
 		}
 	}
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -118,12 +118,14 @@
 	other := cluster.Unit{Service: "painel", Shard: (unit.Shard + 1) % shards}
 	owner := cluster.MemberRef{Name: "a", Incarnation: 1}
 	stranger := cluster.MemberRef{Name: "b", Incarnation: 1}
+	successor := cluster.MemberRef{Name: "c", Incarnation: 1}
 	events := []Event{
-		{Text: "mine", Kind: KindPlacement, Unit: &unit, Member: &owner, Node: stranger},
+		{Text: "mine", Kind: KindPlacement, Unit: &unit, Member: &owner, Node: successor},
 		{Text: "pin", Kind: KindMove, Unit: &cluster.Unit{Service: "painel", Shard: unit.Shard, Key: key}},
 		{Text: "other", Kind: KindPlacement, Unit: &other, Member: &stranger},
 		{Text: "owner-evicted", Kind: KindEviction, Member: &owner, Node: stranger},
 		{Text: "stranger-evicted", Kind: KindEviction, Member: &stranger},
+		{Text: "successor-lease", Kind: KindLease, Node: successor},
 		{Text: "limit", Kind: KindLimit, Customer: "c1", Node: owner},
 	}
 	tests := []struct {
@@ -131,8 +133,8 @@
 		filter Filter
 		want   string
 	}{
-		{"none", Filter{}, "mine pin other owner-evicted stranger-evicted limit"},
-		{"key", Filter{Key: key, ShardCounts: map[string]int{"painel": shards}}, "mine pin owner-evicted"},
+		{"none", Filter{}, "mine pin other owner-evicted stranger-evicted successor-lease limit"},
+		{"key", Filter{Key: key, ShardCounts: map[string]int{"painel": shards}}, "mine pin owner-evicted successor-lease"},
 		{"key without counts", Filter{Key: key}, "pin"},
 		{"shard", Filter{Service: "painel", Shard: &other.Shard}, "other stranger-evicted"},
 		{"VM as recorder or subject", Filter{VM: "a"}, "mine owner-evicted limit"},
