--- a/test/fault/harness/build.go
+++ b/test/fault/harness/build.go
@@ -41,6 +41,9 @@
 	return &Binaries{dir: dir}, nil
 }
 
+// Prebuilt uses the programs of a directory, which is left alone.
+func Prebuilt(dir string) *Binaries { return &Binaries{dir: dir} }
+
 // Path returns the path of a program.
 func (b *Binaries) Path(program string) string { return filepath.Join(b.dir, program) }
 
--- a/test/fault/harness/client.go
+++ b/test/fault/harness/client.go
@@ -23,6 +23,7 @@
 	headerWorkMs         = "X-Work-Ms"
 	headerCode           = "Fulmarhinge-Code"
 	headerResult         = "Fulmarhinge-Result"
+	headerOwner          = "Fulmarhinge-Owner"
 )
 
 // Call is one request to send.
@@ -77,6 +78,7 @@
 	}
 	defer resp.Body.Close()
 	a.Status = resp.StatusCode
+	a.Owner = resp.Header.Get(headerOwner)
 	code, _ := strconv.ParseUint(resp.Header.Get(headerCode), 10, 32)
 	a.Code = uint32(code)
 	switch resp.Header.Get(headerResult) {
--- a/test/fault/harness/configure.go
+++ b/test/fault/harness/configure.go
@@ -14,7 +14,7 @@
 
 // Store returns a client of the fleet's platform.
 func (f *Fleet) Store() platform.Store {
-	return platform.NewClient(platform.Options{URLs: []string{"http://" + f.platformAddr}})
+	return platform.NewClient(platform.Options{URLs: []string{f.PlatformURL()}})
 }
 
 // configure accepts the first configuration.
--- a/test/fault/harness/fleet.go
+++ b/test/fault/harness/fleet.go
@@ -28,6 +28,8 @@
 	// Work is how long a request takes at a backend server.
 	Work  time.Duration
 	Lease *LeaseSettings
+	// Unconfigured leaves the platform without a configuration.
+	Unconfigured bool
 }
 
 // Fleet is a set of running processes.
@@ -76,8 +78,10 @@
 	if err := f.startStandins(); err != nil {
 		return f, err
 	}
-	if err := f.configure(); err != nil {
-		return f, fmt.Errorf("configuration: %w", err)
+	if !o.Unconfigured {
+		if err := f.configure(); err != nil {
+			return f, fmt.Errorf("configuration: %w", err)
+		}
 	}
 	for _, n := range f.Nodes {
 		if err := f.StartNode(n); err != nil {
@@ -207,6 +211,9 @@
 // serverID is the id of the present backend server in the log of runs.
 func (n *Node) serverID() string { return fmt.Sprintf("%s/%d", n.Name, n.backendRuns) }
 
+// PlatformURL is where operators reach the platform.
+func (f *Fleet) PlatformURL() string { return "http://" + f.platformAddr }
+
 // waitListening polls until a connection to the address can be made.
 func waitListening(address string, timeout time.Duration) error {
 	const pause = 10 * time.Millisecond
--- a/test/fault/harness/outcome.go
+++ b/test/fault/harness/outcome.go
@@ -40,6 +40,8 @@
 	Code           uint32
 	Status         int
 	Detail         string
+	// Owner is the caller address that the answer names as the key's owner.
+	Owner string
 	// Sends is how often the client library sent the request.
 	Sends int
 }
