Record since when a unit has been served

The gate needs the start of an ownership to tell idempotency keys that an earlier owner may have seen from those that it can't have. The source notes it at publication, so the control side does nothing for it.

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/cluster"
@@ -81,6 +82,15 @@
 	lease atomic.Int64
 	// changed is closed and replaced at each publication.
 	changed atomic.Pointer[chan struct{}]
+	// serving holds since when each unit has been served, and is replaced as a
+	// whole at each publication.
+	serving atomic.Pointer[map[cluster.Unit]servingStart]
+}
+
+// servingStart is when a unit was first published as Serving under an epoch.
+type servingStart struct {
+	epoch uint64
+	at    time.Time
 }
 
 // Current returns the newest view; nil before the first.
@@ -88,12 +98,45 @@
 
 // Publish makes v the newest view and wakes those who wait for a change.
 func (s *Source) Publish(v *View) {
+	s.recordServing(v)
 	s.view.Store(v)
 	if old := s.changed.Swap(nil); old != nil {
 		close(*old)
 	}
 }
 
+// recordServing notes when units become Serving. It runs before the view is
+// stored, so a reader that finds a unit Serving finds its start as well.
+func (s *Source) recordServing(v *View) {
+	now := time.Now()
+	starts := make(map[cluster.Unit]servingStart, len(v.Owned))
+	var old map[cluster.Unit]servingStart
+	if p := s.serving.Load(); p != nil {
+		old = *p
+	}
+	for u, o := range v.Owned {
+		if o.State != Serving {
+			continue
+		}
+		starts[u] = servingStart{epoch: o.Epoch, at: now}
+		if before, ok := old[u]; ok && before.epoch == o.Epoch {
+			starts[u] = before
+		}
+	}
+	s.serving.Store(&starts)
+}
+
+// ServingSince returns the wall time at which this node began to serve the
+// unit under the epoch, or false if it does not serve it.
+func (s *Source) ServingSince(u cluster.Unit, epoch uint64) (time.Time, bool) {
+	p := s.serving.Load()
+	if p == nil {
+		return time.Time{}, false
+	}
+	start, ok := (*p)[u]
+	return start.at, ok && start.epoch == epoch
+}
+
 // Changed returns a channel that is closed at the next publication. Take it
 // before reading Current, so that no publication is missed.
 func (s *Source) Changed() <-chan struct{} {
