Run a request with an idempotency key at most once

The gate remembers keys per ownership in bounded memory. A repetition waits for the first run and gets its answer; an unknown outcome stays unknown; a key older than the ownership, or than the memory, never runs; a full table refuses. A run with a key goes on when its caller leaves, so that the repetition finds an answer.

--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -48,6 +48,7 @@
 	count *inFlight
 	loads *loads
 	room  *waitroom.Room
+	table *idempotencyTable
 
 	mu     sync.Mutex
 	server atomic.Pointer[server]
@@ -58,9 +59,14 @@
 	return &Gate{
 		src: src, log: logger.Named("gate"), count: newInFlight(),
 		loads: newLoads(), room: waitroom.New(),
+		table: newIdempotencyTable(IdempotencyLimits{}),
 	}
 }
 
+// SetIdempotency changes what the gate remembers of idempotency keys; a zero
+// field takes its default. It is called before the first request.
+func (g *Gate) SetIdempotency(l IdempotencyLimits) { g.table = newIdempotencyTable(l) }
+
 // SetBackend tells the gate of the present announcement; nil withdraws it.
 // Requests in flight go on.
 func (g *Gate) SetBackend(a *Announcement) {
@@ -102,6 +108,14 @@
 		return refusal
 	}
 	defer g.leave(ctx, r)
+	if r.keyed && head.GetIdempotencyKey() != "" && !idempotentMethod(head.GetMethod()) {
+		return g.runOnce(ctx, r)
+	}
+	return g.runInSlot(ctx, r)
+}
+
+// runInSlot sends the request once a slot of the backend server is free.
+func (g *Gate) runInSlot(ctx context.Context, r *run) *result.Error {
 	if !g.acquireSlot(ctx, r) {
 		return slotRefusal(ctx)
 	}
--- /dev/null
+++ b/internal/backend/idempotency_test.go
@@ -0,0 +1,267 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"fulmarhinge/internal/result"
+	"fulmarhinge/internal/view"
+	"fulmarhinge/internal/wire"
+)
+
+// keyAt returns a UUIDv7 of a time; n tells keys of one time apart.
+func keyAt(at time.Time, n byte) string {
+	ms := at.UnixMilli()
+	id := uuid.UUID{6: 0x70, 8: 0x80, 15: n}
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	return id.String()
+}
+
+// newKey returns a key of the present time.
+func newKey(n byte) string { return keyAt(time.Now(), n) }
+
+// newKeyGate returns a gate that has owned its unit for long enough that a
+// present key is newer; keys have a resolution of a millisecond.
+func newKeyGate(t testing.TB, entries int, handler http.HandlerFunc) *gateTest {
+	g := newGateTest(t, handler)
+	g.SetIdempotency(IdempotencyLimits{Entries: entries, ClockBound: time.Nanosecond, Age: time.Hour})
+	time.Sleep(3 * time.Millisecond)
+	return g
+}
+
+func withKey(id, key string) *wire.RequestHead {
+	h := post(id)
+	h.IdempotencyKey = key
+	return h
+}
+
+func TestKeyRunsOnceAndRepeatsItsAnswer(t *testing.T) {
+	release := make(chan struct{})
+	g := newKeyGate(t, 0, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		w.Header().Set("X-Receipt", "1")
+		w.WriteHeader(http.StatusCreated)
+		fmt.Fprint(w, "charged")
+	})
+	key := newKey(1)
+	type outcome struct {
+		id   string
+		sink *memorySink
+		err  *result.Error
+	}
+	outcomes := make(chan outcome, 5)
+	for i := range 5 {
+		go func() {
+			id := fmt.Sprint("r", i)
+			s, err := g.do(withKey(id, key))
+			outcomes <- outcome{id, s, err}
+		}()
+	}
+	eventually(t, "one runs and all are in the gate", func() bool { return g.runs.Load() == 1 && g.Total() == 5 })
+	close(release)
+	for range 5 {
+		o := <-outcomes
+		if o.err != nil || o.sink.body.String() != "charged" || o.sink.head.GetStatus() != 201 || o.sink.head.GetId() != o.id {
+			t.Fatalf("%s got %v %v", o.id, o.err, o.sink.head)
+		}
+	}
+	if g.runs.Load() != 1 {
+		t.Fatalf("%d runs", g.runs.Load())
+	}
+}
+
+func TestKeyRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		key  string
+		want result.Code
+	}{
+		{"no uuid", "abc", result.IdempotencyKeyBad},
+		{"version 4", "9b2fd6ae-6a6e-4f0e-9a52-6ad9d1ad0f3c", result.IdempotencyKeyBad},
+		{"in the future", keyAt(time.Now().Add(time.Minute), 1), result.IdempotencyKeyBad},
+		{"older than the ownership", keyAt(time.Now().Add(-time.Second), 1), result.IdempotencyKeyTooOld},
+		{"older than the memory", keyAt(time.Now().Add(-2*time.Hour), 1), result.IdempotencyKeyTooOld},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newKeyGate(t, 0, func(http.ResponseWriter, *http.Request) {})
+			if _, err := g.do(withKey("r", c.key)); codeOf(err) != c.want || g.runs.Load() != 0 {
+				t.Fatalf("got %d with %d runs", codeOf(err), g.runs.Load())
+			}
+		})
+	}
+}
+
+func TestKeyOfAnotherRequestIsRefused(t *testing.T) {
+	g := newKeyGate(t, 0, func(http.ResponseWriter, *http.Request) {})
+	key := newKey(1)
+	if _, err := g.do(withKey("a", key)); err != nil {
+		t.Fatal(err)
+	}
+	other := withKey("b", key)
+	other.Path = "/p/k/other"
+	if _, err := g.do(other); codeOf(err) != result.IdempotencyKeyBad || g.runs.Load() != 1 {
+		t.Fatalf("got %d with %d runs", codeOf(err), g.runs.Load())
+	}
+}
+
+func TestUnknownOutcomeIsNeverRunAgain(t *testing.T) {
+	g := newKeyGate(t, 0, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	key := newKey(1)
+	if _, err := g.do(withKey("a", key)); codeOf(err) != result.AnswerCut {
+		t.Fatalf("got %d", codeOf(err))
+	}
+	if _, err := g.do(withKey("b", key)); codeOf(err) != result.IdempotencyFirstFailed {
+		t.Fatalf("got %d", codeOf(err))
+	}
+	if g.runs.Load() != 1 {
+		t.Fatalf("%d runs", g.runs.Load())
+	}
+}
+
+func TestNotRunIsForgotten(t *testing.T) {
+	shed := atomic.Bool{}
+	shed.Store(true)
+	g := newKeyGate(t, 0, func(w http.ResponseWriter, _ *http.Request) {
+		if shed.Load() {
+			w.Header().Set("Fulmarhinge-Shed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	key := newKey(1)
+	if _, err := g.do(withKey("a", key)); codeOf(err) != result.BackendShed {
+		t.Fatalf("got %d", codeOf(err))
+	}
+	shed.Store(false)
+	if _, err := g.do(withKey("b", key)); err != nil {
+		t.Fatalf("got %d", codeOf(err))
+	}
+}
+
+func TestLargeAnswerIsNotRunAgain(t *testing.T) {
+	g := newKeyGate(t, 0, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, maxKeptAnswer+1)) })
+	key := newKey(1)
+	if s, err := g.do(withKey("a", key)); err != nil || s.body.Len() != maxKeptAnswer+1 {
+		t.Fatalf("got %v", err)
+	}
+	if _, err := g.do(withKey("b", key)); codeOf(err) != result.IdempotencyAnswerLarge || g.runs.Load() != 1 {
+		t.Fatalf("got %d with %d runs", codeOf(err), g.runs.Load())
+	}
+}
+
+func TestFullTableRefusesInsteadOfForgetting(t *testing.T) {
+	g := newKeyGate(t, tableStripes, func(http.ResponseWriter, *http.Request) {})
+	full := 0
+	for i := range 200 {
+		_, err := g.do(withKey("r", newKey(byte(i))))
+		if err != nil && err.Code != result.IdempotencyTableFull {
+			t.Fatalf("got %d", codeOf(err))
+		}
+		if err != nil {
+			full++
+		}
+	}
+	if full == 0 || int(g.runs.Load()) != 200-full || g.runs.Load() > tableStripes {
+		t.Fatalf("%d refused, %d ran", full, g.runs.Load())
+	}
+}
+
+// The caller leaves while the request runs; it asks again with its key and gets
+// the answer of the first run.
+func TestLostAnswerIsRepeated(t *testing.T) {
+	release := make(chan struct{})
+	g := newKeyGate(t, 0, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		fmt.Fprint(w, "charged")
+	})
+	key := newKey(1)
+	ctx, cancel := context.WithCancel(context.Background())
+	codes := make(chan result.Code, 1)
+	go func() {
+		codes <- codeOf(g.Do(ctx, withKey("a", key), strings.NewReader(""), &brokenSink{}))
+	}()
+	eventually(t, "the first runs", func() bool { return g.runs.Load() == 1 })
+	cancel()
+	close(release)
+	if c := <-codes; c != result.CancelledAfter {
+		t.Fatalf("the first got %d", c)
+	}
+	if s, err := g.do(withKey("b", key)); err != nil || s.body.String() != "charged" || g.runs.Load() != 1 {
+		t.Fatalf("the second got %v with %d runs", err, g.runs.Load())
+	}
+}
+
+// brokenSink is that of a caller that has left.
+type brokenSink struct{}
+
+func (brokenSink) Dispatched()                   {}
+func (brokenSink) Head(*wire.ResponseHead) error { return errors.New("gone") }
+func (brokenSink) Write([]byte) (int, error)     { return 0, errors.New("gone") }
+
+func TestNewOwnershipNeverRunsOldKeys(t *testing.T) {
+	g := newKeyGate(t, 0, func(http.ResponseWriter, *http.Request) {})
+	key := keyAt(time.Now(), 1)
+	g.publish(view.Serving, 8)
+	if _, err := g.do(withKey("a", key)); codeOf(err) != result.IdempotencyKeyTooOld || g.runs.Load() != 0 {
+		t.Fatalf("got %d", codeOf(err))
+	}
+}
+
+// Callers repeat at random under faults at random. No key runs twice, and who
+// was told "not run" as the last word of a key did not run.
+func TestRandomRepetitionsRunAtMostOnce(t *testing.T) {
+	const seed = 20260
+	rng := rand.New(rand.NewSource(seed))
+	var mu sync.Mutex
+	runs := map[string]int{}
+	g := newKeyGate(t, 0, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		mode := rng.Intn(4)
+		if mode != 0 {
+			runs[r.Header.Get("Idempotency-Key")]++
+		}
+		mu.Unlock()
+		switch mode {
+		case 0:
+			w.Header().Set("Fulmarhinge-Shed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 1:
+			panic(http.ErrAbortHandler)
+		default:
+			fmt.Fprint(w, r.Header.Get("Idempotency-Key"))
+		}
+	})
+	var wg sync.WaitGroup
+	for c := range 20 {
+		key := newKey(byte(c))
+		for i := range 5 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				h := withKey(fmt.Sprint(c, "-", i), key)
+				h.Headers = []*wire.Header{{Name: "Idempotency-Key", Value: key}}
+				s, err := g.do(h)
+				if err == nil && s.body.String() != key {
+					t.Errorf("key %s got the answer %q", key, s.body.String())
+				}
+			}()
+		}
+	}
+	wg.Wait()
+	for key, n := range runs {
+		if n > 1 {
+			t.Errorf("seed %d: key %s ran %d times", seed, key, n)
+		}
+	}
+}
--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -48,8 +48,10 @@
 	server *server
 
 	keyed bool
-	unit  cluster.Unit
-	epoch uint64
+	// detached is true if the run goes on when the caller leaves.
+	detached bool
+	unit     cluster.Unit
+	epoch    uint64
 
 	stage atomic.Int32
 	// conn is the connection that the request was dispatched on.
@@ -62,7 +64,7 @@
 
 // dispatch sends the request and passes the answer on.
 func (r *run) dispatch(ctx context.Context) *result.Error {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := r.context(ctx)
 	defer cancel()
 	req, refusal := r.request(ctx)
 	if refusal != nil {
@@ -83,6 +85,16 @@
 	return r.answer(ctx, resp)
 }
 
+// context returns the context of the call to the backend server. That of a
+// detached run ends at the deadline only.
+func (r *run) context(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if r.detached && ok {
+		return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	}
+	return context.WithCancel(ctx)
+}
+
 // request builds the HTTP request with the fence and the time left.
 func (r *run) request(ctx context.Context) (*http.Request, *result.Error) {
 	u, err := url.ParseRequestURI(r.head.GetPath())
