Run a node: control loop, listeners and calls to the platform

Cause: the parts have to run as one process.

Measured: builds and unit tests only; the process tests come next.

Conclusion: fulmarhinge node runs.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -9,20 +9,14 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/spf13/cobra"
 
+	"fulmarhinge/internal/node"
 	"fulmarhinge/internal/result"
-	"fulmarhinge/internal/settings"
 )
 
 // runNode runs a node until ctx ends and its planned stop is over.
-var runNode func(ctx context.Context, s *settings.Settings, log hclog.Logger) error = notLinked
-
-// notLinked stands in for the node until its package is linked.
-func notLinked(context.Context, *settings.Settings, hclog.Logger) error {
-	return fmt.Errorf("this build has no node")
-}
+var runNode = node.Run
 
 // Main runs one command and returns its exit code. The first SIGTERM or SIGINT
 // ends the command's context; a second one ends the process.
--- a/internal/control/objects.go
+++ b/internal/control/objects.go
@@ -194,3 +194,6 @@
 	}
 	return false
 }
+
+// Prefixes returns the prefixes of all objects that a node follows.
+func Prefixes() []string { return slices.Clone(loadPrefixes) }
