--- /dev/null
+++ b/test/demo/serve.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"fulmarhinge/internal/config"
+	"fulmarhinge/internal/contract"
+	"fulmarhinge/test/fault/harness"
+)
+
+// terms returns a contract that the demo's load stays under.
+func terms(customer string) contract.Contract {
+	return contract.Contract{Customer: customer, Total: contract.Terms{
+		Rate: 5000, Burst: 1000, MaxWaiting: 500, MaxTime: contract.Duration(5 * time.Second),
+	}}
+}
+
+func (d *demo) configure() error {
+	if err := d.cli.mustSet("service", service, d.fleet.Options.Service); err != nil {
+		return err
+	}
+	route := config.Route{
+		Name: "shops", PathPrefix: harness.PathPrefix, Service: service, CustomerHeader: "Customer", KeySegment: 2,
+	}
+	if err := d.cli.mustSet("route", route.Name, route); err != nil {
+		return err
+	}
+	return d.cli.mustSet("contract", shop, terms(shop))
+}
+
+func (d *demo) awaitServing() error {
+	began := time.Now()
+	err := d.await("all nodes serve", joinTimeout, func() error { return d.allServed(nodes) })
+	if err != nil {
+		return err
+	}
+	for _, n := range d.last.Nodes {
+		fmt.Printf("   %s#%d serves %d shards\n", n.Name, n.Incarnation, n.Owned.Serving)
+	}
+	fmt.Printf("   after %s\n", time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
+// allServed checks that so many nodes answer, take requests and serve all
+// shards between them.
+func (d *demo) allServed(want int) error {
+	if err := d.cli.json(&d.last, "status"); err != nil {
+		return err
+	}
+	if len(d.last.Nodes) != want {
+		return fmt.Errorf("%d nodes answer instead of %d", len(d.last.Nodes), want)
+	}
+	serving := 0
+	for _, n := range d.last.Nodes {
+		serving += n.Owned.Serving
+		if !n.Admitting || n.LeaseLeftMs <= 0 {
+			return fmt.Errorf("%s takes no requests: %s", n.Name, n.Reason)
+		}
+		if n.Owned.Serving == 0 {
+			return fmt.Errorf("%s serves nothing yet", n.Name)
+		}
+	}
+	if serving != shards {
+		return fmt.Errorf("%d shards of %d are served", serving, shards)
+	}
+	return nil
+}
+
+// serveEverywhere asks every node for every key. All of them must name the
+// same owner.
+func (d *demo) serveEverywhere() error {
+	var wg sync.WaitGroup
+	answers := make([][]harness.Attempt, len(d.fleet.Nodes))
+	for i, n := range d.fleet.Nodes {
+		wg.Go(func() {
+			for _, key := range d.keys {
+				id := fmt.Sprintf("all-%s-%s", n.Name, key)
+				answers[i] = append(answers[i], d.send(n.CallerAddr, call(id, shop, key, 0)))
+			}
+		})
+	}
+	wg.Wait()
+	for i := range answers {
+		d.attempts = append(d.attempts, answers[i]...)
+		for _, a := range answers[i] {
+			if a.Class != harness.Answered {
+				return fmt.Errorf("key %s at %s: %s %d %s", a.Key, a.Entry, a.Class, a.Code, a.Detail)
+			}
+			if known := d.owners[a.Key]; known != "" && known != a.Owner {
+				return fmt.Errorf("key %s: owners %s and %s are named", a.Key, known, a.Owner)
+			}
+			d.owners[a.Key] = a.Owner
+		}
+	}
+	fmt.Printf("   %d keys from %d nodes: %d whole answers, each key with one owner\n",
+		len(d.keys), len(d.fleet.Nodes), len(d.keys)*len(d.fleet.Nodes))
+	return nil
+}
+
+func call(id, customer, key string, work time.Duration) harness.Call {
+	return harness.Call{
+		ID: id, Attempt: id, Customer: customer, Path: harness.PathPrefix + key, Key: key, Size: 1000, Work: work,
+	}
+}
+
+func (d *demo) send(entry string, c harness.Call) harness.Attempt {
+	ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
+	defer cancel()
+	return harness.Send(ctx, d.client, entry, c)
+}
+
+// startLoad sends requests for all keys through all nodes that are not
+// avoided, a fifth of them not idempotent.
+func (d *demo) startLoad(seed uint64) *harness.Load {
+	return harness.StartLoad(harness.LoadOptions{
+		Seed: seed, Keys: d.keys, Interval: 100 * time.Millisecond, Customer: shop,
+		PathPrefix: harness.PathPrefix, WriteShare: 0.2, Work: work, MaxSize: 4000,
+		Timeout: callTimeout, Entries: d.fleet.Entries,
+	})
+}
+
+// count counts the attempts of each class.
+func count(attempts []harness.Attempt) map[harness.Class]int {
+	classes := map[harness.Class]int{}
+	for _, a := range attempts {
+		classes[a.Class]++
+	}
+	return classes
+}
--- /dev/null
+++ b/test/demo/stop.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"fulmarhinge/test/fault/harness"
+)
+
+// Requests that are in flight at a planned stop.
+const (
+	slowRequests = 12
+	slowWork     = 1500 * time.Millisecond
+	// slowHeadStart is how long they have run when the stop begins.
+	slowHeadStart = 300 * time.Millisecond
+)
+
+// stopBySignal stops a node with SIGTERM.
+func (d *demo) stopBySignal() error {
+	n := d.fleet.Nodes[1]
+	return d.stopPlanned(n, 2, func() error { return n.Node.Terminate() })
+}
+
+// stopByDrain stops a node by the command line.
+func (d *demo) stopByDrain() error {
+	n := d.fleet.Nodes[2]
+	return d.stopPlanned(n, 3, func() error {
+		_, err := d.cli.must("drain", n.Name)
+		return err
+	})
+}
+
+// stopPlanned stops a node under load and with slow requests in flight, and
+// checks that none of them is cut. Then the VM is started again.
+func (d *demo) stopPlanned(n *harness.Node, seed uint64, stop func() error) error {
+	load := d.startLoad(seed)
+	time.Sleep(loadSettle)
+	slow := d.startSlow(n)
+	time.Sleep(slowHeadStart)
+	d.fleet.Avoid(n)
+	began := time.Now()
+	if err := stop(); err != nil {
+		load.Stop()
+		return err
+	}
+	ended, err := d.awaitExit(n)
+	finished := slow()
+	time.Sleep(loadSettle)
+	attempts := load.Stop()
+	d.attempts = append(append(d.attempts, attempts...), finished...)
+	if err != nil {
+		return err
+	}
+	if err := reportStop(n, ended.Sub(began), finished, attempts); err != nil {
+		return err
+	}
+	d.fleet.KillBackend(n)
+	if err := d.startVM(n); err != nil {
+		return err
+	}
+	return d.await("all nodes serve", joinTimeout, func() error { return d.allServed(nodes) })
+}
+
+// startSlow sends slow requests for keys that the node owns, half of them
+// through the node itself. The returned function waits for their ends.
+func (d *demo) startSlow(n *harness.Node) func() []harness.Attempt {
+	keys := d.keysOf(n)
+	entries := []string{n.CallerAddr, d.fleet.Nodes[0].CallerAddr}
+	attempts := make([]harness.Attempt, slowRequests)
+	var wg sync.WaitGroup
+	for i := range attempts {
+		wg.Go(func() {
+			id := fmt.Sprintf("slow-%s-%d", n.Name, i)
+			attempts[i] = d.send(entries[i%len(entries)], call(id, shop, keys[i%len(keys)], slowWork))
+		})
+	}
+	return func() []harness.Attempt {
+		wg.Wait()
+		return attempts
+	}
+}
+
+// keysOf asks any node who owns each key now, and returns those of one node.
+func (d *demo) keysOf(n *harness.Node) []string {
+	var keys []string
+	for i, key := range d.keys {
+		a := d.send(d.fleet.Nodes[0].CallerAddr, call(fmt.Sprintf("who-%s-%d", n.Name, i), shop, key, 0))
+		d.attempts = append(d.attempts, a)
+		if a.Owner == n.CallerAddr {
+			keys = append(keys, key)
+		}
+	}
+	if len(keys) == 0 {
+		// The check of the slow requests fails then, and says so.
+		return d.keys[:1]
+	}
+	return keys
+}
+
+// awaitExit waits until the node's process has ended with code 0.
+func (d *demo) awaitExit(n *harness.Node) (time.Time, error) {
+	select {
+	case <-n.Node.Exited():
+	case <-time.After(stopBound):
+		return time.Now(), fmt.Errorf("%s still runs %s after the stop began", n.Name, stopBound)
+	case <-d.ctx.Done():
+		return time.Now(), errors.New("interrupted")
+	}
+	ended := time.Now()
+	if code := n.Node.ExitCode(); code != 0 {
+		return ended, fmt.Errorf("%s ended with code %d:\n%s", n.Name, code, n.Node.LogTail(1000))
+	}
+	return ended, nil
+}
+
+// reportStop checks that nothing was cut off by the stop.
+func reportStop(n *harness.Node, took time.Duration, slow, load []harness.Attempt) error {
+	fmt.Printf("   %s ended with code 0 after %s\n", n.Name, round(took))
+	fmt.Printf("   %d slow requests in flight: %v\n", len(slow), count(slow))
+	fmt.Printf("   load meanwhile: %v\n", count(load))
+	for _, a := range slow {
+		if a.Class != harness.Answered {
+			return fmt.Errorf("slow request %s at %s: %s %d %s", a.ID, a.Entry, a.Class, a.Code, a.Detail)
+		}
+	}
+	for _, a := range load {
+		if a.Class == harness.Cut || a.Class == harness.Unknown || a.Class == harness.Wrong {
+			return fmt.Errorf("request %s at %s: %s %d %s", a.ID, a.Entry, a.Class, a.Code, a.Detail)
+		}
+	}
+	return nil
+}
