--- a/internal/cli/errors.go
+++ b/internal/cli/errors.go
@@ -6,6 +6,7 @@
 
 	"github.com/zeebo/errs"
 
+	"fulmarhinge/internal/config"
 	"fulmarhinge/internal/operator"
 	"fulmarhinge/internal/platform"
 	"fulmarhinge/internal/result"
@@ -30,6 +31,9 @@
 	{&usageError, result.ExitUsage},
 	{&faultyFile, result.ExitBadSettings},
 	{&timeoutError, result.ExitTimeout},
+	{&config.ErrConflict, result.ExitConflict},
+	{&config.ErrInvalid, result.ExitInvalid},
+	{&config.ErrUnknown, result.ExitUnknown},
 	{&platform.ErrConflict, result.ExitConflict},
 	{&platform.ErrUnknown, result.ExitUnknown},
 	{&platform.ErrUnavailable, result.ExitUnreachable},
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -86,6 +86,3 @@
 	root.AddCommand(configCommands(a)...)
 	return root
 }
-
-// configCommands returns the commands that read and edit the configuration.
-func configCommands(*app) []*cobra.Command { return nil }
