--- a/test/demo/command.go
+++ b/test/demo/command.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 
 	"fulmarhinge/internal/operator"
@@ -73,8 +74,8 @@
 	return json.Unmarshal([]byte(out), into)
 }
 
-// set edits one item of the configuration from a file.
-func (c commandLine) set(kind, name string, item any, args ...string) (string, result.ExitCode, error) {
+// set edits a version of one item of the configuration.
+func (c commandLine) set(kind, name string, version uint64, item any, args ...string) (string, result.ExitCode, error) {
 	b, err := json.Marshal(item)
 	if err != nil {
 		return "", 0, err
@@ -83,12 +84,12 @@
 	if err := os.WriteFile(file, b, 0o644); err != nil {
 		return "", 0, err
 	}
-	return c.run(append([]string{kind, "set", "--file", file}, args...)...)
+	return c.run(append([]string{kind, "set", "--file", file, "--version", strconv.FormatUint(version, 10)}, args...)...)
 }
 
 // mustSet edits one item and has to succeed.
-func (c commandLine) mustSet(kind, name string, item any, args ...string) error {
-	out, code, err := c.set(kind, name, item, args...)
+func (c commandLine) mustSet(kind, name string, version uint64, item any, args ...string) error {
+	out, code, err := c.set(kind, name, version, item, args...)
 	if err == nil && code != result.ExitOK {
 		err = fmt.Errorf("%s set %s: exit code %d: %s", kind, name, code, out)
 	}
--- a/test/demo/contract.go
+++ b/test/demo/contract.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"fulmarhinge/internal/config"
 	"fulmarhinge/internal/contract"
 	"fulmarhinge/internal/result"
 	"fulmarhinge/test/fault/harness"
@@ -23,7 +24,7 @@
 		return err
 	}
 	began := time.Now()
-	if err := d.cli.mustSet("contract", newcomer, terms(newcomer), "--wait"); err != nil {
+	if err := d.cli.mustSet("contract", newcomer, 0, terms(newcomer), "--wait"); err != nil {
 		return err
 	}
 	took := time.Since(began)
@@ -55,17 +56,14 @@
 
 // raceEdits lets two operators edit one version of a contract.
 func (d *demo) raceEdits() error {
-	var read struct {
-		Version uint64 `json:"version"`
-	}
+	var read config.Item[contract.Contract]
 	if err := d.cli.json(&read, "contract", "get", shop); err != nil {
 		return err
 	}
-	version := fmt.Sprint(read.Version)
 	edit := func(rate float64) (string, result.ExitCode, error) {
 		c := terms(shop)
 		c.Total.Rate = rate
-		return d.cli.set("contract", shop, c, "--version", version, "--wait")
+		return d.cli.set("contract", shop, read.Version, c, "--wait")
 	}
 	if out, code, err := edit(6000); err != nil || code != result.ExitOK {
 		return fmt.Errorf("first operator: exit code %d: %s %v", code, out, err)
@@ -74,15 +72,13 @@
 	if err != nil || code != result.ExitConflict {
 		return fmt.Errorf("second operator: exit code %d instead of %d: %s %v", code, result.ExitConflict, out, err)
 	}
-	fmt.Printf("   second operator, who edited version %s as well, got exit code %d\n", version, code)
-	var now struct {
-		Item contract.Contract `json:"contract"`
-	}
+	fmt.Printf("   second operator, who edited version %d as well, got exit code %d\n", read.Version, code)
+	var now config.Item[contract.Contract]
 	if err := d.cli.json(&now, "contract", "get", shop); err != nil {
 		return err
 	}
-	if now.Item.Total.Rate != 6000 {
-		return fmt.Errorf("the rate is %v instead of the first operator's 6000", now.Item.Total.Rate)
+	if now.Value.Total.Rate != 6000 {
+		return fmt.Errorf("the rate is %v instead of the first operator's 6000", now.Value.Total.Rate)
 	}
 	return nil
 }
--- a/test/demo/serve.go
+++ b/test/demo/serve.go
@@ -19,16 +19,16 @@
 }
 
 func (d *demo) configure() error {
-	if err := d.cli.mustSet("service", service, d.fleet.Options.Service); err != nil {
+	if err := d.cli.mustSet("service", service, 0, d.fleet.Options.Service); err != nil {
 		return err
 	}
 	route := config.Route{
 		Name: "shops", PathPrefix: harness.PathPrefix, Service: service, CustomerHeader: "Customer", KeySegment: 2,
 	}
-	if err := d.cli.mustSet("route", route.Name, route); err != nil {
+	if err := d.cli.mustSet("route", route.Name, 0, route); err != nil {
 		return err
 	}
-	return d.cli.mustSet("contract", shop, terms(shop))
+	return d.cli.mustSet("contract", shop, 0, terms(shop))
 }
 
 func (d *demo) awaitServing() error {
@@ -116,7 +116,7 @@
 // avoided, a fifth of them not idempotent.
 func (d *demo) startLoad(seed uint64) *harness.Load {
 	return harness.StartLoad(harness.LoadOptions{
-		Seed: seed, Keys: d.keys, Interval: 100 * time.Millisecond, Customer: shop,
+		Seed: seed, Name: fmt.Sprintf("load%d-", seed), Keys: d.keys, Interval: 100 * time.Millisecond, Customer: shop,
 		PathPrefix: harness.PathPrefix, WriteShare: 0.2, Work: work, MaxSize: 4000,
 		Timeout: callTimeout, Entries: d.fleet.Entries,
 	})
--- a/test/fault/harness/load.go
+++ b/test/fault/harness/load.go
@@ -16,6 +16,9 @@
 // LoadOptions say what load a Load places.
 type LoadOptions struct {
 	Seed uint64
+	// Name comes before the id of each request, which must be unique among
+	// all loads that are judged together.
+	Name string
 	// Keys are requested in turn, each once an Interval.
 	Keys     []string
 	Interval time.Duration
@@ -99,7 +102,7 @@
 	tick := time.NewTicker(l.opts.Interval)
 	defer tick.Stop()
 	for n := 0; ; n++ {
-		c := l.call(rng, fmt.Sprintf("%d-%d", index, n), key)
+		c := l.call(rng, fmt.Sprintf("%s%d-%d", l.opts.Name, index, n), key)
 		seed := rng.Uint64()
 		l.running.Go(func() { l.request(c, seed) })
 		select {
