Count pins apart and name each unit that a plan moves

Ruled out: counting pins as units in the status; a unit moves with its pin and both are served.

Conclusion: status shows shards and pins; each assignment is an event.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -280,6 +280,13 @@
 	}
 	next.ChangeID = m.changeID()
 	m.event(timeline.Event{Kind: timeline.KindPlacement, Text: fmt.Sprintf("%s: %d units move, first for %s", key, n, moves[0].Reason)})
+	for _, mv := range moves {
+		to := mv.To
+		m.event(timeline.Event{
+			Kind: timeline.KindPlacement, Unit: &mv.Unit, Epoch: mv.FromEpoch + 1, Member: &to,
+			Text: "unit is to be assigned: " + mv.Reason.String(),
+		})
+	}
 	m.write(key, m.objects[key].version, cluster.Encode(next), next.ChangeID, func(Outcome) {})
 }
 
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -109,19 +109,21 @@
 
 // Status is what a node says of its control state.
 type Status struct {
-	Self          cluster.MemberRef
-	Phase         string
-	State         cluster.MemberState
-	InForce       uint64
-	Known         uint64
-	Admitting     bool
-	Reason        string
-	LeaseLeft     time.Duration
-	Witnesses     []cluster.Witness
-	WitnessOf     int
-	Pending       int
-	Serving       int
-	Stopping      int
+	Self      cluster.MemberRef
+	Phase     string
+	State     cluster.MemberState
+	InForce   uint64
+	Known     uint64
+	Admitting bool
+	Reason    string
+	LeaseLeft time.Duration
+	Witnesses []cluster.Witness
+	WitnessOf int
+	Pending   int
+	Serving   int
+	Stopping  int
+	// Pins counts the served hot keys, which the three above leave out.
+	Pins          int
 	Members       []cluster.Member
 	Watching      bool
 	Draining      bool
@@ -152,8 +154,8 @@
 		Draining:      m.own.drain,
 		DrainInFlight: m.own.inFlight,
 	}
-	for _, u := range m.units.own {
-		s.countUnit(u.state)
+	for u, cur := range m.units.own {
+		s.countUnit(u, cur.state)
 	}
 	for _, p := range m.memberList() {
 		s.Members = append(s.Members, *p)
@@ -164,7 +166,13 @@
 	return s
 }
 
-func (s *Status) countUnit(state view.UnitState) {
+func (s *Status) countUnit(u cluster.Unit, state view.UnitState) {
+	if u.Key != "" {
+		if state == view.Serving {
+			s.Pins++
+		}
+		return
+	}
 	switch state {
 	case view.Pending:
 		s.Pending++
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -30,7 +30,7 @@
 		RevisionInForce: c.InForce, RevisionKnown: c.Known,
 		Admitting: c.Admitting, Reason: c.Reason, Draining: c.Draining,
 		LeaseLeftMs:   c.LeaseLeft.Milliseconds(),
-		Owned:         operator.OwnedCounts{Pending: c.Pending, Serving: c.Serving, Stopping: c.Stopping},
+		Owned:         operator.OwnedCounts{Pending: c.Pending, Serving: c.Serving, Stopping: c.Stopping, Pins: c.Pins},
 		InFlight:      n.gate.Total(),
 		Backend:       n.backendStatus(),
 		PlatformLagMs: n.platformLag(),
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -42,11 +42,12 @@
 	Members []MemberRow `json:"members"`
 }
 
-// OwnedCounts counts owned units by state.
+// OwnedCounts counts owned shards by state, and the served hot keys apart.
 type OwnedCounts struct {
 	Pending  int `json:"pending"`
 	Serving  int `json:"serving"`
 	Stopping int `json:"stopping"`
+	Pins     int `json:"pins"`
 }
 
 // Backend is the backend server beside the node, as the gate sees it.
