Record old and new owner of each unit that moves

Cause: the time line of a key lost who had owned it when the owner's own ring died with it, and events carried no incarnation.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -280,14 +280,27 @@
 	}
 	next.ChangeID = m.changeID()
 	m.event(timeline.Event{Kind: timeline.KindPlacement, Text: fmt.Sprintf("%s: %d units move, first for %s", key, n, moves[0].Reason)})
+	m.noteMoves(moves)
+	m.write(key, m.objects[key].version, cluster.Encode(next), next.ChangeID, func(Outcome) {})
+}
+
+// noteMoves records each unit's old and new owner, so that the time line tells
+// who owned it even if the old owner's own record is lost with it.
+func (m *Machine) noteMoves(moves []placement.Move) {
 	for _, mv := range moves {
+		e := timeline.Event{Kind: timeline.KindPlacement, Unit: &mv.Unit, Epoch: mv.FromEpoch}
+		if old := m.assignment(mv.Unit); old != nil && !old.Owner.IsZero() {
+			from := old.Owner
+			e.Member = &from
+			e.Text = "unit is taken: " + mv.Reason.String()
+			m.event(e)
+		}
 		to := mv.To
-		m.event(timeline.Event{
-			Kind: timeline.KindPlacement, Unit: &mv.Unit, Epoch: mv.FromEpoch + 1, Member: &to,
-			Text: "unit is to be assigned: " + mv.Reason.String(),
-		})
+		e.Member = &to
+		e.Epoch = mv.FromEpoch + 1
+		e.Text = "unit is assigned: " + mv.Reason.String()
+		m.event(e)
 	}
-	m.write(key, m.objects[key].version, cluster.Encode(next), next.ChangeID, func(Outcome) {})
 }
 
 // endedFor reports whether nothing that an incarnation let in can still run.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -133,6 +133,7 @@
 			self.Name = l.node.settings.Name
 		}
 		l.node.peers.SetSelf(self)
+		l.node.ring.SetNode(self)
 	}
 }
 
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -28,9 +28,16 @@
 	return &Ring{node: node, clock: clock, events: make([]Event, 0, max(capacity, 1))}
 }
 
+// SetNode changes the node that later events are recorded for, as a process
+// that joins again has another incarnation.
+func (r *Ring) SetNode(node cluster.MemberRef) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.node = node
+}
+
 // Add stamps the event, records it as this node's and returns it as kept.
 func (r *Ring) Add(e Event) Event {
-	e.Node = r.node
 	e.Text = clip(e.Text)
 	e.Customer = clip(e.Customer)
 	if e.Unit != nil && len(e.Unit.Key) > maxTextBytes {
@@ -40,6 +47,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	e.Node = r.node
 	// Stamped under the lock, so that the ring is in the order of its stamps.
 	e.Stamp = r.clock.Now()
 	if len(r.events) < cap(r.events) {
