Give up silent watches, count the client's calls, keep the last whole look

Cause: a watch whose connection hung looked like a platform where nothing changes. The client now ends a watch without a line for 15 s; the API's lines include a keep-alive every 5 s. Calls are counted by kind and outcome for the metrics, in place of counters that only tests could read.

--- a/internal/cli/force.go
+++ b/internal/cli/force.go
@@ -54,10 +54,15 @@
 			listed = time.Now()
 		}
 		if err == nil {
-			last = a.lookForRevision(ctx, members, revision, done)
-			last.took(time.Since(start))
-			if last.Everywhere {
-				return last, nil
+			look := a.lookForRevision(ctx, members, revision, done)
+			look.took(time.Since(start))
+			if look.Everywhere {
+				return look, nil
+			}
+			// A look that the end of the wait cut short would call nodes silent
+			// that only lag.
+			if ctx.Err() == nil || last.BudgetMs == 0 {
+				last = look
 			}
 		}
 		select {
--- /dev/null
+++ b/internal/config/bench_test.go
@@ -0,0 +1,100 @@
+package config
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"fulmarhinge/internal/contract"
+	"fulmarhinge/internal/platform"
+)
+
+// benchContracts is the number of contracts of the benchmarks.
+const benchContracts = 20_000
+
+// largeConfig stores a configuration of many contracts and returns its editor.
+func largeConfig(b *testing.B, n int) (*platform.Memory, *Editor) {
+	b.Helper()
+	m := platform.NewMemory()
+	e := quickEditor(m)
+	edits := []Edit{Services.Set(0, Service{Name: "painel", DividedByKey: true, Shards: 16})}
+	for i := range n {
+		ct := contractOf(fmt.Sprintf("customer-%06d", i), 100)
+		ct.Services = map[string]contract.Terms{"painel": terms(50)}
+		edits = append(edits, Contracts.Set(0, ct))
+	}
+	if _, err := e.Apply(b.Context(), AnyRevision, All(edits...)); err != nil {
+		b.Fatal(err)
+	}
+	return m, e
+}
+
+// BenchmarkChange measures one change of one contract by an operator, and the
+// platform's calls and written bytes that it costs.
+func BenchmarkChange(b *testing.B) {
+	m, _ := largeConfig(b, benchContracts)
+	version := uint64(1)
+	before := m.Counts()
+	changes := 0
+	for b.Loop() {
+		ct := contractOf("customer-000001", float64(changes+1000))
+		a, err := quickEditor(m).Apply(b.Context(), AnyRevision, Contracts.Set(version, ct))
+		if err != nil {
+			b.Fatal(err)
+		}
+		version = a.Revision
+		changes++
+	}
+	after := m.Counts()
+	b.ReportMetric(float64(after.Get-before.Get)/float64(changes), "reads/change")
+	b.ReportMetric(float64(after.Put+after.Delete-before.Put-before.Delete)/float64(changes), "writes/change")
+}
+
+// BenchmarkAssemble measures what one change of one contract costs a node, and
+// the memory that the configuration takes.
+func BenchmarkAssemble(b *testing.B) {
+	m, e := largeConfig(b, benchContracts)
+	get := func(key string) ([]byte, bool) {
+		o, err := m.Get(b.Context(), key)
+		return o.Value, err == nil
+	}
+	s, err := e.Load(b.Context())
+	if err != nil {
+		b.Fatal(err)
+	}
+	a := NewAssembler()
+	heap := liveHeap()
+	cfg, _, err := a.Assemble(s.Head, get)
+	if err != nil {
+		b.Fatal(err)
+	}
+	perContract := float64(liveHeap()-heap) / benchContracts
+	bucket := s.Head.Parts[ContractPart("customer-000001")]
+	value, _ := get(bucket)
+	b.Run("one bucket", func(b *testing.B) {
+		for b.Loop() {
+			delete(a.parts, bucket)
+			if cfg, _, err = a.Assemble(s.Head, get); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(perContract, "heap-bytes/contract")
+		b.ReportMetric(float64(len(value)), "bytes/bucket")
+		b.ReportMetric(float64(len(cfg.Contracts)), "contracts")
+	})
+	b.Run("all buckets", func(b *testing.B) {
+		for b.Loop() {
+			if cfg, _, err = Assemble(s.Head, get); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// liveHeap returns the bytes in use after a collection.
+func liveHeap() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- a/internal/config/layout.go
+++ b/internal/config/layout.go
@@ -150,6 +150,14 @@
 func merge(h Head, parts map[string]*Part) *Config {
 	c := New()
 	c.Revision = h.Revision
+	contracts := 0
+	for _, p := range parts {
+		contracts += len(p.Contracts)
+	}
+	// Contracts are most of a configuration: room for all of them at once spares
+	// the maps from growing step by step.
+	c.Contracts = make(map[string]contract.Contract, contracts)
+	c.Versions.Contracts = make(map[string]uint64, contracts)
 	for _, p := range parts {
 		unpack(p.Services, c.Services, c.Versions.Services)
 		unpack(p.Routes, c.Routes, c.Versions.Routes)
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 
 	"golang.org/x/time/rate"
 )
@@ -74,20 +73,3 @@
 
 // SetBudget changes the budget, as when the fleet grows.
 func (c *Client) SetBudget(b Budget) { c.budget.set(b) }
-
-// callCounts count the calls of a client by kind.
-type callCounts struct {
-	get, list, put, delete, watch atomic.Uint64
-}
-
-// Counts returns the calls that this client has made. The waiting time of
-// watches is counted by the platform only.
-func (c *Client) Counts() Counts {
-	return Counts{
-		Get:         c.calls.get.Load(),
-		List:        c.calls.list.Load(),
-		Put:         c.calls.put.Load(),
-		Delete:      c.calls.delete.Load(),
-		WatchOpened: c.calls.watch.Load(),
-	}
-}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -23,6 +23,9 @@
 const (
 	// DefaultTimeout bounds one call, a watch excepted.
 	DefaultTimeout = 2 * time.Second
+	// DefaultWatchSilence is how long a watch may be without a line, a keep-alive
+	// included, before it counts as broken.
+	DefaultWatchSilence = 3 * WatchKeepAlive
 	// maxListBytes bounds the answer to a list.
 	maxListBytes = 256 << 20
 	// maxErrorBytes bounds how much of an error's body is read.
@@ -36,6 +39,9 @@
 	URLs []string
 	// Timeout bounds one call, a watch excepted; 0 means DefaultTimeout.
 	Timeout time.Duration
+	// WatchSilence is how long a watch may be without a line; 0 means
+	// DefaultWatchSilence.
+	WatchSilence time.Duration
 	// Budget limits the calls; the zero value is no limit.
 	Budget Budget
 	// Logger gets one line for each switch to another URL; nil discards.
@@ -46,12 +52,13 @@
 type Client struct {
 	urls    []string
 	timeout time.Duration
-	http    *http.Client
-	log     hclog.Logger
-	budget  *limiters
+	// watchSilence bounds the time between two lines of a watch.
+	watchSilence time.Duration
+	http         *http.Client
+	log          hclog.Logger
+	budget       *limiters
 	// current is the index of the URL that answered last.
 	current atomic.Uint32
-	calls   callCounts
 }
 
 var _ Store = (*Client)(nil)
@@ -61,6 +68,9 @@
 	if o.Timeout == 0 {
 		o.Timeout = DefaultTimeout
 	}
+	if o.WatchSilence == 0 {
+		o.WatchSilence = DefaultWatchSilence
+	}
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
@@ -70,17 +80,17 @@
 		IdleConnTimeout:     time.Minute,
 	}
 	return &Client{
-		urls:    o.URLs,
-		timeout: o.Timeout,
-		http:    &http.Client{Transport: transport},
-		log:     o.Logger.Named("platform"),
-		budget:  newLimiters(o.Budget),
+		urls:         o.URLs,
+		timeout:      o.Timeout,
+		watchSilence: o.WatchSilence,
+		http:         &http.Client{Transport: transport},
+		log:          o.Logger.Named("platform"),
+		budget:       newLimiters(o.Budget),
 	}
 }
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
-	c.calls.get.Add(1)
 	o := Object{Key: key}
 	err := c.read(ctx, getRequest(objectPath(key)), func(r *http.Response) error {
 		version, err := strconv.ParseUint(r.Header.Get(VersionHeader), 10, 64)
@@ -91,6 +101,7 @@
 		o.Value, err = io.ReadAll(io.LimitReader(r.Body, MaxValueBytes+1))
 		return ErrUnavailable.Wrap(err)
 	})
+	countCall(callGet, err)
 	if err != nil {
 		return Object{}, err
 	}
@@ -99,13 +110,13 @@
 
 // List implements Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]Object, error) {
-	c.calls.list.Add(1)
 	var out []Object
 	req := getRequest(ListPath, prefixQuery{Prefix: prefix})
 	err := c.read(ctx, req, func(r *http.Response) error {
 		out = nil
 		return ErrUnavailable.Wrap(json.NewDecoder(io.LimitReader(r.Body, maxListBytes)).Decode(&out))
 	})
+	countCall(callList, err)
 	if err != nil {
 		return nil, err
 	}
@@ -114,7 +125,6 @@
 
 // Put implements Store.
 func (c *Client) Put(ctx context.Context, key string, expected uint64, value []byte) (uint64, error) {
-	c.calls.put.Add(1)
 	if len(value) > MaxValueBytes {
 		return 0, ErrTooLarge.New("%s: %d bytes, at most %d are stored", key, len(value), MaxValueBytes)
 	}
@@ -126,45 +136,54 @@
 		// The change has taken effect; without its version the answer is lost.
 		return ErrUnknown.Wrap(json.NewDecoder(r.Body).Decode(&answer))
 	})
+	countCall(callPut, err)
 	return answer.Version, err
 }
 
 // Delete implements Store.
 func (c *Client) Delete(ctx context.Context, key string, expected uint64) error {
-	c.calls.delete.Add(1)
 	build := func(s *sling.Sling) *sling.Sling {
 		return expect(s.Delete(objectPath(key)), expected)
 	}
-	return c.write(ctx, build, func(*http.Response) error { return nil })
+	err := c.write(ctx, build, func(*http.Response) error { return nil })
+	countCall(callDelete, err)
+	return err
 }
 
 // Watch implements Store. The budget counts the opening of a watch as a read.
 func (c *Client) Watch(ctx context.Context, prefix string, ready func(), fn func(Object)) error {
-	c.calls.watch.Add(1)
 	if err := wait(ctx, c.budget.reads); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	// The answer's header must come within the timeout; the body may last.
-	header := time.AfterFunc(c.timeout, cancel)
-	req := getRequest(WatchPath, prefixQuery{Prefix: prefix})
-	resp, _, err := c.send(ctx, req)
+	// A connection that hangs without breaking would look like a platform where
+	// nothing changes.
+	silence := time.AfterFunc(c.timeout, cancel)
+	defer silence.Stop()
+	resp, _, err := c.send(ctx, getRequest(WatchPath, prefixQuery{Prefix: prefix}))
+	countCall(callWatch, ErrUnavailable.Wrap(err))
 	if err != nil {
+		c.nextURL(err)
 		return ErrUnavailable.Wrap(err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return statusError(resp, false)
+		err := statusError(resp, false)
+		c.nextURL(err)
+		return err
 	}
-	header.Stop()
-	return readWatch(resp.Body, ready, fn)
+	watchesWaiting.Inc()
+	defer watchesWaiting.Dec()
+	return readWatch(resp.Body, func() { silence.Reset(c.watchSilence) }, ready, fn)
 }
 
-// readWatch hands the lines of a watch on until it breaks.
-func readWatch(body io.Reader, ready func(), fn func(Object)) error {
+// readWatch hands the lines of a watch on until it breaks; alive is called
+// before each one.
+func readWatch(body io.Reader, alive, ready func(), fn func(Object)) error {
 	d := json.NewDecoder(body)
 	for {
+		alive()
 		var line WatchLine
 		if err := d.Decode(&line); err != nil {
 			return ErrUnavailable.Wrap(fmt.Errorf("watch broke: %w", err))
--- /dev/null
+++ b/internal/platform/metrics.go
@@ -0,0 +1,43 @@
+package platform
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Kinds of calls, as the metrics name them.
+const (
+	callGet    = "get"
+	callList   = "list"
+	callPut    = "put"
+	callDelete = "delete"
+	callWatch  = "watch"
+)
+
+// watchesWaiting is the number of watches that are open now; the platform
+// counts each as one call in progress.
+var watchesWaiting = metrics.NewCounter("fulmarhinge_platform_watches_waiting")
+
+// countCall counts a call and what came of it.
+func countCall(kind string, err error) {
+	name := fmt.Sprintf("fulmarhinge_platform_calls_total{kind=%q,outcome=%q}", kind, outcomeOf(err))
+	metrics.GetOrCreateCounter(name).Inc()
+}
+
+// outcomeOf names the class of an error for the metrics.
+func outcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case ErrConflict.Has(err):
+		return "conflict"
+	case ErrNotFound.Has(err):
+		return "not_found"
+	case ErrTooLarge.Has(err):
+		return "too_large"
+	case ErrUnknown.Has(err):
+		return "unknown"
+	}
+	return "unavailable"
+}
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -1,5 +1,7 @@
 package platform
 
+import "time"
+
 // The object API over HTTP:
 //
 //	GET    /v1/objects/<key>    200, the value as body, its version in VersionHeader
@@ -21,6 +23,10 @@
 	VersionHeader = "Object-Version"
 )
 
+// WatchKeepAlive is the longest time between two lines that the platform sends
+// on a watch.
+const WatchKeepAlive = 5 * time.Second
+
 // PutAnswer is the body of the answer to a successful PUT.
 type PutAnswer struct {
 	Version uint64 `json:"version"`
--- a/internal/platform/store_test.go
+++ b/internal/platform/store_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -216,6 +217,18 @@
 	})
 }
 
+func TestClientGivesUpASilentWatch(t *testing.T) {
+	silent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte(`{"ready":true}`))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(silent.Close)
+	options := platform.Options{URLs: []string{silent.URL}, WatchSilence: 50 * time.Millisecond}
+	_, ended := startWatch(t, platform.NewClient(options), "a/")
+	wantClass(t, &platform.ErrUnavailable, await(t, ended))
+}
+
 func TestStoreCountsCalls(t *testing.T) {
 	onEachStore(t, func(t *testing.T, b bench) {
 		v := mustPut(t, b.store, "k", 0, "v")
--- a/standin/platform/objectapi/objectapi.go
+++ b/standin/platform/objectapi/objectapi.go
@@ -23,9 +23,6 @@
 	CountsPath = "/admin/counts"
 )
 
-// keepAlive is the time between empty lines on an idle watch.
-const keepAlive = 5 * time.Second
-
 // Handler serves the API from a store in memory.
 type Handler struct {
 	store *platform.Memory
@@ -103,7 +100,7 @@
 
 func (h *Handler) watch(w http.ResponseWriter, r *http.Request) {
 	stream := &lines{encoder: json.NewEncoder(w), control: http.NewResponseController(w)}
-	tick := time.NewTicker(keepAlive)
+	tick := time.NewTicker(platform.WatchKeepAlive)
 	defer tick.Stop()
 	done := make(chan struct{})
 	defer close(done)
