--- a/internal/cli/force.go
+++ b/internal/cli/force.go
@@ -59,9 +59,9 @@
 			if look.Everywhere {
 				return look, nil
 			}
-			// A look that the end of the wait cut short would call nodes silent
-			// that only lag.
-			if ctx.Err() == nil || last.BudgetMs == 0 {
+			// A look that the end of the wait cut short says of nodes that
+			// they do not answer though nobody waited for them.
+			if ctx.Err() == nil || len(last.Lagging)+len(last.NotAnswered) == 0 {
 				last = look
 			}
 		}
