--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -152,7 +152,7 @@
 
 // Watch implements Store. The budget counts the opening of a watch as a read.
 func (c *Client) Watch(ctx context.Context, prefix string, ready func(), fn func(Object)) error {
-	if err := wait(ctx, c.budget.reads); err != nil {
+	if err := wait(ctx, c.budget.reads, c.timeout); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -213,7 +213,7 @@
 
 // read makes a call without effect: a lost answer is ErrUnavailable.
 func (c *Client) read(ctx context.Context, req request, accept func(*http.Response) error) error {
-	if err := wait(ctx, c.budget.reads); err != nil {
+	if err := wait(ctx, c.budget.reads, c.timeout); err != nil {
 		return err
 	}
 	return c.try(ctx, req, false, accept)
@@ -221,7 +221,7 @@
 
 // write makes a call with effect: a lost answer is ErrUnknown.
 func (c *Client) write(ctx context.Context, req request, accept func(*http.Response) error) error {
-	if err := wait(ctx, c.budget.writes); err != nil {
+	if err := wait(ctx, c.budget.writes, c.timeout); err != nil {
 		return err
 	}
 	return c.try(ctx, req, true, accept)
