--- a/internal/cli/change_test.go
+++ b/internal/cli/change_test.go
@@ -116,6 +116,26 @@
 	})
 }
 
+func TestOfTwoRacingOperatorsOneGetsAConflict(t *testing.T) {
+	m, url := startPlatform(t)
+	runAll(t, url, []commandLine{{"config apply --file DIR/fleet.json", result.ExitOK, "revision 1", ""}})
+	m.Set(platform.Switches{SlowMs: 10})
+	dir := files(t)
+	codes := make(chan result.ExitCode, 2)
+	for range 2 {
+		go func() {
+			code, _, errOut := execute("contract", "set", "--file", filepath.Join(dir, "shop-v1.json"), "--platform", url)
+			if code == result.ExitConflict && !strings.Contains(errOut, "version 1, the present one is version 2") {
+				t.Errorf("message %q names not both versions", errOut)
+			}
+			codes <- code
+		}()
+	}
+	if a, b := <-codes, <-codes; a+b != result.ExitOK+result.ExitConflict {
+		t.Errorf("exit codes %d and %d, want one conflict", a, b)
+	}
+}
+
 func TestChangeUnderPlatformFaults(t *testing.T) {
 	m, url := startPlatform(t)
 	set := "contract set --file DIR/shop.json --version 0 --timeout 400ms"
