Name nodes that lag behind the accepted revision

Cause: status compared nodes with each other only, so that a fleet cut off from a change looked complete. The platform's head is read where it is asked anyway.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/config"
 	"fulmarhinge/internal/operator"
 	"fulmarhinge/internal/platform"
 	"fulmarhinge/internal/result"
@@ -127,6 +128,7 @@
 		{"platform unreachable", "status --platform http://127.0.0.1:1", nil, result.ExitUnreachable, "", "unavailable"},
 		{"node unreachable", "status --node 127.0.0.1:1", nil, result.ExitUnreachable, "", "unreachable"},
 		{"status", "status --platform URL", nil, result.ExitOK, "b lags: revision 4", ""},
+		{"status without an accepted revision", "status --platform URL", nil, result.ExitOK, "revision 5 is the newest", ""},
 		{"status names the silent", "status --platform URL", nil, result.ExitOK, "c (127.0.0.1:1) did not answer", ""},
 		{"status without the platform", "status --node ADDR", nil, result.ExitOK, "c (127.0.0.1:1) did not answer", ""},
 		{"status in JSON", "status --platform URL --output json", nil, result.ExitOK, `"not_answered": [`, ""},
@@ -169,6 +171,20 @@
 	}
 }
 
+func TestStatusLagsBehindTheAcceptedRevision(t *testing.T) {
+	f := newFleet(t)
+	head := cluster.Encode(config.Head{Accepted: config.Accepted{Revision: 6, ChangeID: "x"}})
+	if _, err := f.a.store.Put(t.Context(), cluster.ConfigHeadKey, 0, head); err != nil {
+		t.Fatal(err)
+	}
+	_, out, errOut := execute("status", "--platform", f.url)
+	for _, want := range []string{"revision 6 is accepted", "a lags: revision 5", "b lags: revision 4"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q is not in:\n%s%s", want, out, errOut)
+		}
+	}
+}
+
 func TestDrainTimesOut(t *testing.T) {
 	f := newFleet(t)
 	// The order is taken but the node that records its end is another one.
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -1,13 +1,16 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"strconv"
 
 	"github.com/spf13/cobra"
 
 	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/config"
 	"fulmarhinge/internal/operator"
+	"fulmarhinge/internal/platform"
 )
 
 // silentNode is a member that did not answer.
@@ -26,8 +29,11 @@
 
 // fleetStatus is the JSON form of the status.
 type fleetStatus struct {
-	// Revision is the newest revision that any node knows of.
-	Revision    uint64            `json:"revision"`
+	// Revision is the newest revision that is known: the accepted one or, if
+	// the platform was not asked, the newest that any node knows of.
+	Revision uint64 `json:"revision"`
+	// Accepted is true if the platform says that Revision is accepted.
+	Accepted    bool              `json:"accepted"`
 	Nodes       []operator.Status `json:"nodes"`
 	Lagging     []laggingNode     `json:"lagging"`
 	NotAnswered []silentNode      `json:"not_answered"`
@@ -49,7 +55,12 @@
 	if err != nil {
 		return err
 	}
-	fleet := summarize(a.client().StatusAll(cmd.Context(), members))
+	accepted, asked, err := a.acceptedRevision(cmd.Context())
+	if err != nil {
+		return err
+	}
+	fleet := summarize(a.client().StatusAll(cmd.Context(), members), accepted)
+	fleet.Accepted = asked && fleet.Revision == accepted
 	if err := a.print(fleet, statusTable(fleet)); err != nil {
 		return err
 	}
@@ -59,9 +70,31 @@
 	return nil
 }
 
-// summarize splits the answers into those that came and those that did not.
-func summarize(answers []operator.Answer[operator.Status]) fleetStatus {
-	fleet := fleetStatus{Nodes: []operator.Status{}, Lagging: []laggingNode{}, NotAnswered: []silentNode{}}
+// acceptedRevision reads the accepted revision from the platform, unless the
+// nodes are to be found without it.
+func (a *app) acceptedRevision(ctx context.Context) (revision uint64, asked bool, err error) {
+	if len(a.nodes) > 0 {
+		return 0, false, nil
+	}
+	store, err := a.store()
+	if err != nil {
+		return 0, false, err
+	}
+	o, err := store.Get(ctx, cluster.ConfigHeadKey)
+	if platform.ErrNotFound.Has(err) {
+		return 0, true, nil
+	}
+	if err != nil {
+		return 0, false, err
+	}
+	head, err := config.DecodeHead(o.Value)
+	return head.Revision, true, err
+}
+
+// summarize splits the answers into those that came and those that did not,
+// and names the nodes that lag behind the accepted revision.
+func summarize(answers []operator.Answer[operator.Status], accepted uint64) fleetStatus {
+	fleet := fleetStatus{Revision: accepted, Nodes: []operator.Status{}, Lagging: []laggingNode{}, NotAnswered: []silentNode{}}
 	for _, answer := range answers {
 		if answer.Err != nil {
 			fleet.NotAnswered = append(fleet.NotAnswered, silent(answer.Member, answer.Err))
@@ -90,7 +123,11 @@
 			yesNo(n.Admitting), strconv.Itoa(n.Owned.Serving), strconv.Itoa(n.Owned.Pending),
 			strconv.Itoa(n.Owned.Stopping), strconv.Itoa(n.InFlight), backendText(n.Backend))
 	}
-	t.note("revision %d is the newest that any node knows of", fleet.Revision)
+	if fleet.Accepted {
+		t.note("revision %d is accepted", fleet.Revision)
+	} else {
+		t.note("revision %d is the newest that any node knows of", fleet.Revision)
+	}
 	for _, n := range fleet.Lagging {
 		t.note("%s lags: revision %d is in force there: %s", n.Name, n.RevisionInForce, n.Reason)
 	}
