--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -83,6 +83,16 @@
 	}
 }
 
+func TestRingNamesTheIncarnation(t *testing.T) {
+	r, _ := newRing("a", 3)
+	r.Add(Event{Text: "before"})
+	r.SetNode(cluster.MemberRef{Name: "a", Incarnation: 2})
+	r.Add(Event{Text: "after"})
+	if all := r.All(); all[0].Node.Incarnation != 1 || all[1].Node.Incarnation != 2 {
+		t.Errorf("events of %s and %s", all[0].Node, all[1].Node)
+	}
+}
+
 func TestRingBoundsTexts(t *testing.T) {
 	r, _ := newRing("a", 1)
 	long := strings.Repeat("x", 10*maxTextBytes)
