Hold customers to their contracts with leased shares

Limits must hold over the whole fleet without a round trip for each request.

Tokens of the burst move with shares, so the burst is spent once. A new holder renews what nodes hold and leases the rest once it was reported or has lapsed.

--- /dev/null
+++ b/internal/limit/messages.go
@@ -0,0 +1,60 @@
+package limit
+
+import (
+	"time"
+
+	"fulmarhinge/internal/config"
+	"fulmarhinge/internal/contract"
+	"fulmarhinge/internal/wire"
+)
+
+// termsOf returns the terms of a scope.
+func termsOf(c *config.Config, s Scope) (contract.Terms, bool) {
+	ct, ok := c.Contracts[s.Customer]
+	if !ok || s.Service == "" {
+		return ct.Total, ok
+	}
+	t, ok := ct.Services[s.Service]
+	return t, ok
+}
+
+func askMessage(s Scope, a Ask) *wire.Control {
+	return &wire.Control{Body: &wire.Control_ShareRequest{ShareRequest: &wire.ShareRequest{
+		Customer:    s.Customer,
+		Service:     s.Service,
+		Seq:         a.Seq,
+		WantRate:    a.Want,
+		HeldRate:    a.Held.Rate,
+		HeldBurst:   a.Held.Burst,
+		HeldWaiting: uint32(a.Held.Waiting),
+	}}}
+}
+
+func decodeAsk(r *wire.ShareRequest) (Scope, Ask) {
+	held := Share{r.HeldRate, r.HeldBurst, int(r.HeldWaiting)}
+	return Scope{r.Customer, r.Service}, Ask{Seq: r.Seq, Want: r.WantRate, Held: held}
+}
+
+func grantMessage(s Scope, g Grant) *wire.Control {
+	return &wire.Control{Body: &wire.Control_ShareGrant{ShareGrant: &wire.ShareGrant{
+		Customer: s.Customer,
+		Service:  s.Service,
+		Seq:      g.Seq,
+		Rate:     g.Share.Rate,
+		Burst:    g.Share.Burst,
+		Waiting:  uint32(g.Share.Waiting),
+		Tokens:   g.Tokens,
+		TtlMs:    uint64(g.TTL.Milliseconds()),
+		Recall:   g.Recall,
+	}}}
+}
+
+func decodeGrant(r *wire.ShareGrant) (Scope, Grant) {
+	return Scope{r.Customer, r.Service}, Grant{
+		Seq:    r.Seq,
+		Share:  Share{r.Rate, r.Burst, int(r.Waiting)},
+		Tokens: r.Tokens,
+		TTL:    time.Duration(r.TtlMs) * time.Millisecond,
+		Recall: r.Recall,
+	}
+}
--- /dev/null
+++ b/test/bench/limits/main.go
@@ -0,0 +1,49 @@
+// Command limits measures ways to hold a customer to its contract over a fleet
+// by simulation with fixed seeds. It prints a table and writes JSON.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"log"
+	"os"
+	"path/filepath"
+	"time"
+
+	"fulmarhinge/test/limitsim"
+)
+
+func main() {
+	out := flag.String("out", "bench-out/limits.json", "file for the results")
+	seeds := flag.Uint64("seeds", 3, "number of seeds, from 1")
+	flag.Parse()
+	var results []limitsim.Result
+	for _, s := range limitsim.Scenarios() {
+		fmt.Printf("\n%s\n", s.Name)
+		for _, p := range limitsim.Policies {
+			for seed := uint64(1); seed <= *seeds; seed++ {
+				r := limitsim.Run(s, p.Name, p.New(limitsim.Start, s.Nodes, s.Terms), seed)
+				results = append(results, r)
+				fmt.Printf("  %-18s seed %d  overshoot %+6.2f%%  usable %6.2f%%  longest gap %6v  messages/s %8.1f  round trips %6.2f%%\n",
+					r.Policy, r.Seed, 100*r.Overshoot, 100*r.Usable, r.LongestGap.Round(time.Millisecond),
+					r.MessagesPerSecond, 100*r.RoundTripShare)
+			}
+		}
+	}
+	if err := write(*out, results); err != nil {
+		log.Fatal(err)
+	}
+}
+
+// write stores the results as JSON.
+func write(path string, results []limitsim.Result) error {
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	b, err := json.MarshalIndent(results, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, b, 0o644)
+}
