--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -42,11 +42,12 @@
 	Members []MemberRow `json:"members"`
 }
 
-// OwnedCounts counts owned units by state.
+// OwnedCounts counts owned shards by state, and the served hot keys apart.
 type OwnedCounts struct {
 	Pending  int `json:"pending"`
 	Serving  int `json:"serving"`
 	Stopping int `json:"stopping"`
+	Pins     int `json:"pins"`
 }
 
 // Backend is the backend server beside the node, as the gate sees it.
@@ -60,10 +61,12 @@
 // MemberRow is one member as the answering node sees it.
 type MemberRow struct {
 	cluster.MemberRef
-	Zone    string              `json:"zone"`
-	State   cluster.MemberState `json:"state"`
-	Service string              `json:"service,omitempty"`
-	Ready   bool                `json:"ready"`
+	// OperatorAddr lets one node's answer lead to all the others.
+	OperatorAddr string              `json:"operator_addr"`
+	Zone         string              `json:"zone"`
+	State        cluster.MemberState `json:"state"`
+	Service      string              `json:"service,omitempty"`
+	Ready        bool                `json:"ready"`
 	// SilentMs is the time since the member was last heard, in milliseconds;
 	// -1 if this node does not hear it directly.
 	SilentMs int64 `json:"silent_ms"`
