Hold customers to their contracts inside the node

Cause: the limit manager was not wired in; every request was admitted.

Conclusion: shares are leased and asked for in the control goroutine.

--- a/internal/limit/messages.go
+++ b/internal/limit/messages.go
@@ -58,3 +58,12 @@
 		Recall: r.Recall,
 	}
 }
+
+// IsShareMessage reports whether a control message is for a Manager.
+func IsShareMessage(c *wire.Control) bool {
+	switch c.GetBody().(type) {
+	case *wire.Control_ShareRequest, *wire.Control_ShareGrant, *wire.Control_ShareQuery, *wire.Control_ShareReport:
+		return true
+	}
+	return false
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -29,6 +29,7 @@
 	calls   chan func()
 	done    chan struct{}
 	io      *platformIO
+	limits  *limits
 	self    cluster.MemberRef
 	waiting map[uint64]chan string
 	nextID  uint64
@@ -44,6 +45,7 @@
 		done:    make(chan struct{}),
 		waiting: map[uint64]chan string{},
 	}
+	l.limits = &limits{loop: l}
 	l.io = newPlatformIO(n.store, l.post, n.log)
 	return l
 }
@@ -81,8 +83,10 @@
 		case f := <-l.calls:
 			f()
 		case e := <-l.events:
-			l.machine.Step(clock.Now(), e)
+			l.step(e)
 			l.takeWaiting()
+		case <-l.limits.urgent:
+			l.limits.tick()
 		case <-t.C:
 			l.tick()
 		}
@@ -90,13 +94,20 @@
 	}
 }
 
+// step gives one event to the part that it concerns.
+func (l *loop) step(e control.Event) {
+	if !l.limits.take(e) {
+		l.machine.Step(clock.Now(), e)
+	}
+}
+
 // takeWaiting steps through events that are already there, so that a burst
 // costs one publication.
 func (l *loop) takeWaiting() {
 	for range eventBatch {
 		select {
 		case e := <-l.events:
-			l.machine.Step(clock.Now(), e)
+			l.step(e)
 		default:
 			return
 		}
@@ -106,6 +117,7 @@
 func (l *loop) tick() {
 	l.machine.Step(clock.Now(), control.InFlight{Total: l.node.gate.Total()})
 	l.machine.Step(clock.Now(), control.Tick{})
+	l.limits.tick()
 }
 
 // carryOut publishes first and acts then: a message or write must never say
@@ -134,7 +146,21 @@
 		}
 		l.node.peers.SetSelf(self)
 		l.node.ring.SetNode(self)
+		if !r.Self.IsZero() {
+			l.limits.joined()
+			l.limits.follow(l.node.source.Current())
+		}
 	}
+	if r.View != nil {
+		l.limits.follow(r.View)
+	}
+}
+
+// sendControl sends a control message with the clock of the time line.
+func (l *loop) sendControl(addr string, m *wire.Control) {
+	s := l.node.stamps.Now()
+	m.StampWall, m.StampLogical = s.Wall, s.Logical
+	l.node.peers.Send(addr, m)
 }
 
 func (l *loop) act(r *control.Ready) {
@@ -142,9 +168,7 @@
 		l.record(l.node.ring.Add(e))
 	}
 	for _, o := range r.Messages {
-		s := l.node.stamps.Now()
-		o.Body.StampWall, o.Body.StampLogical = s.Wall, s.Logical
-		l.node.peers.Send(o.Addr, o.Body)
+		l.sendControl(o.Addr, o.Body)
 	}
 	for _, w := range r.Writes {
 		l.io.write(w)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,7 +88,7 @@
 		MaxHeader: s.Limits.MaxHeaderBytes,
 		MaxBody:   s.Limits.MaxBodyBytes,
 		BodyPause: s.Limits.BodyIdleTimeout.D(),
-	}}, n.source, n.peers, n.gate, n.loop.admitter(), log)
+	}}, n.source, n.peers, n.gate, n.loop.limits, log)
 	return n, nil
 }
 
