Work out again only what a change of members or placement touches

Cause: at each tick every node sorted all members, chose its witnesses anew and looked through the whole placement for forced work, so control cost grew with the fleet.

Ruled out: a longer tick; eviction needs the 50 ms to meet 3 s.

Conclusion: derived state is kept until a member changes.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -34,7 +34,10 @@
 // serviceControl is what a node keeps for the controller role of a service.
 type serviceControl struct {
 	// workSince is when forced work was first seen; 0 if there is none.
-	workSince   clock.Mono
+	workSince clock.Mono
+	// forced is whether any unit must move in the state of checked.
+	forced      bool
+	checked     planRev
 	nextBalance clock.Mono
 	nextReport  clock.Mono
 	reports     map[string]loadReport
@@ -94,10 +97,9 @@
 	if m.createGroups(s, rank) || m.writingGroup(s.Name) {
 		return
 	}
-	in := m.planInput(s)
-	if !forcedWork(in) {
+	if !m.forcedWork(s, c) {
 		c.workSince = 0
-		m.balance(s, c, in, rank)
+		m.balance(s, c, rank)
 		return
 	}
 	if c.workSince == 0 {
@@ -105,29 +107,26 @@
 	}
 	wait := forcedWait + time.Duration(rank)*rankWait
 	if c.workSince.Add(wait) <= m.now {
+		in := m.planInput(s)
 		in.MaxMoves = 0
 		m.carryOut(s, placement.Plan(in))
 	}
 }
 
-// controllers returns the members that may control a service, best first:
-// those with a backend server of the service, then any.
-func (m *Machine) controllers(service string) []*cluster.Member {
-	var out []*cluster.Member
-	for _, p := range m.memberList() {
-		if p.State == cluster.StateActive && p.Backend != nil && p.Backend.Service == service {
-			out = append(out, p)
-		}
-	}
-	slices.SortFunc(out, func(a, b *cluster.Member) int {
-		if cluster.Rank("controller/"+service, a.Name) > cluster.Rank("controller/"+service, b.Name) {
-			return -1
-		}
-		return 1
-	})
-	return out
+// forcedWork reports whether any unit of the service must move. It is worked
+// out again only after a member or the placement has changed.
+func (m *Machine) forcedWork(s config.Service, c *serviceControl) bool {
+	rev := planRev{members: m.memberRev, placement: m.placeRev, config: m.revision()}
+	if c.checked != rev {
+		c.checked = rev
+		c.forced = forcedWork(m.planInput(s))
+	}
+	return c.forced
 }
 
+// planRev says which state a decision was made for.
+type planRev struct{ members, placement, config uint64 }
+
 // controllerRank is this node's place among the controllers, -1 if it is none.
 func (m *Machine) controllerRank(service string) int {
 	return slices.IndexFunc(m.controllers(service), func(p *cluster.Member) bool { return p.MemberRef == m.self })
@@ -249,12 +248,12 @@
 
 // balance moves load from time to time. Only the first controller does, as
 // its reports are the complete ones.
-func (m *Machine) balance(s config.Service, c *serviceControl, in placement.Input, rank int) {
+func (m *Machine) balance(s config.Service, c *serviceControl, rank int) {
 	if rank != 0 || c.nextBalance > m.now {
 		return
 	}
 	c.nextBalance = m.now.Add(max(balanceEvery, m.reportPeriod()))
-	m.carryOut(s, placement.Plan(in))
+	m.carryOut(s, placement.Plan(m.planInput(s)))
 }
 
 // carryOut writes each placement object that the moves concern, once.
--- /dev/null
+++ b/internal/control/derived.go
@@ -0,0 +1,118 @@
+package control
+
+import (
+	"slices"
+
+	"fulmarhinge/internal/cluster"
+)
+
+// derived holds what follows from the members alone. It is worked out again
+// only after a member has changed: in a large fleet, working it out at each
+// tick would cost more than everything else.
+type derived struct {
+	valid       bool
+	list        []*cluster.Member
+	controllers map[string][]*cluster.Member
+	neighbours  []string
+	watchRank   int
+}
+
+// fromMembers returns what follows from the present members.
+func (m *Machine) fromMembers() *derived {
+	if !m.derived.valid {
+		m.derived = derived{
+			valid:       true,
+			list:        m.sortMembers(),
+			controllers: map[string][]*cluster.Member{},
+		}
+		m.derived.neighbours = m.findNeighbours()
+		m.derived.watchRank = m.findWatchRank()
+	}
+	return &m.derived
+}
+
+// membersChanged says that what was derived no longer holds.
+func (m *Machine) membersChanged() {
+	m.derived.valid = false
+	m.memberRev++
+}
+
+// memberList returns the members in the order of their names.
+func (m *Machine) memberList() []*cluster.Member { return m.fromMembers().list }
+
+func (m *Machine) sortMembers() []*cluster.Member {
+	out := make([]*cluster.Member, 0, len(m.members))
+	for _, p := range m.members {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b *cluster.Member) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// neighbours returns the names of the own witnesses and of the members that
+// this node is a witness of.
+func (m *Machine) neighbours() []string { return m.fromMembers().neighbours }
+
+func (m *Machine) findNeighbours() []string {
+	set := map[string]bool{}
+	for _, w := range m.allWitnesses() {
+		set[w.Name] = true
+	}
+	for name, p := range m.members {
+		if !p.State.Gone() && m.namesMe(p) {
+			set[name] = true
+		}
+	}
+	delete(set, m.self.Name)
+	return sortedKeys(set)
+}
+
+// controllers returns the members that may control a service, best first:
+// those with a backend server of the service.
+func (m *Machine) controllers(service string) []*cluster.Member {
+	d := m.fromMembers()
+	out, known := d.controllers[service]
+	if !known {
+		out = m.findControllers(service)
+		d.controllers[service] = out
+	}
+	return out
+}
+
+func (m *Machine) findControllers(service string) []*cluster.Member {
+	var out []*cluster.Member
+	for _, p := range m.memberList() {
+		if p.State == cluster.StateActive && p.Backend != nil && p.Backend.Service == service {
+			out = append(out, p)
+		}
+	}
+	rank := make(map[string]uint64, len(out))
+	for _, p := range out {
+		rank[p.Name] = cluster.Rank("controller/"+service, p.Name)
+	}
+	slices.SortFunc(out, func(a, b *cluster.Member) int {
+		if rank[a.Name] > rank[b.Name] {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// findWatchRank is how many live members of the zone come before this one.
+func (m *Machine) findWatchRank() int {
+	zone := m.params.Self.Zone
+	mine := cluster.Rank("watch/"+zone, m.self.Name)
+	rank := 0
+	for _, p := range m.members {
+		if p.Zone == zone && p.State == cluster.StateActive && cluster.Rank("watch/"+zone, p.Name) > mine {
+			rank++
+		}
+	}
+	return rank
+}
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -44,27 +44,6 @@
 	g.compareAt = map[string]clock.Mono{}
 }
 
-// neighbours returns the names of the own witnesses and of the members that
-// this node is a witness of.
-func (m *Machine) neighbours() []string {
-	set := map[string]bool{}
-	for _, w := range m.allWitnesses() {
-		set[w.Name] = true
-	}
-	for name, p := range m.members {
-		if !p.State.Gone() && m.namesMe(p) {
-			set[name] = true
-		}
-	}
-	delete(set, m.self.Name)
-	out := make([]string, 0, len(set))
-	for n := range set {
-		out = append(out, n)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // spread notes that the neighbours are to hear of an object, all but the one
 // that it came from.
 func (m *Machine) spread(key, from string) {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -60,9 +60,13 @@
 	members map[string]*cluster.Member
 	groups  map[string]*cluster.Group
 	gone    map[cluster.MemberRef]clock.Mono
-	config  *config.Config
-	head    config.Head
-	headAt  clock.Mono
+	derived derived
+	// memberRev and placeRev count the changes of members and of placement.
+	memberRev uint64
+	placeRev  uint64
+	config    *config.Config
+	head      config.Head
+	headAt    clock.Mono
 	// headFrom is the peer that the head came from.
 	headFrom string
 	maxTime  map[string]time.Duration
@@ -130,6 +134,7 @@
 	m.units.init()
 	m.own = ownState{backend: m.own.backend, drain: m.own.drain, drainAt: m.own.drainAt, rejoinAt: m.own.rejoinAt, rejoins: m.own.rejoins}
 	m.evictions = map[string]*eviction{}
+	m.membersChanged()
 	m.dirty = true
 }
 
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -44,6 +44,8 @@
 	rejoinAt    clock.Mono
 	rejoins     int
 	hadLease    bool
+	chosen      []cluster.Witness
+	chosenFor   choice
 }
 
 // membership holds what the node decides from the list of members.
@@ -140,10 +142,29 @@
 	return &b
 }
 
-// chooseWitnesses returns the set to name. A witness that has voted against
-// this incarnation is of no use to it any more.
+// chooseWitnesses returns the set to name. Without a reason to choose anew it
+// is the present one.
 func (m *Machine) chooseWitnesses(self *cluster.Member) []cluster.Witness {
 	rescue := m.needRescue()
+	reason := choice{members: m.memberRev, refusals: m.holder.Refusals(), rescue: rescue}
+	if reason == m.own.chosenFor && !rescue {
+		return m.own.chosen
+	}
+	m.own.chosenFor = reason
+	m.own.chosen = m.newWitnesses(self, rescue)
+	return m.own.chosen
+}
+
+// choice is what a chosen set depends on.
+type choice struct {
+	members  uint64
+	refusals int
+	rescue   bool
+}
+
+// newWitnesses chooses a set. A witness that has voted against this
+// incarnation is of no use to it any more.
+func (m *Machine) newWitnesses(self *cluster.Member, rescue bool) []cluster.Witness {
 	bad := func(r cluster.MemberRef) bool {
 		if m.holder.RefusedBy(r) {
 			return true
@@ -181,21 +202,6 @@
 	return m.holder.LastAck(r).Add(2*m.params.Lease.Renew) < m.now
 }
 
-// memberList returns the members in the order of their names.
-func (m *Machine) memberList() []*cluster.Member {
-	out := make([]*cluster.Member, 0, len(m.members))
-	for _, p := range m.members {
-		out = append(out, p)
-	}
-	slices.SortFunc(out, func(a, b *cluster.Member) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
-
 func sameMember(a, b *cluster.Member) bool {
 	x, y := *a, *b
 	x.ChangeID, y.ChangeID = "", ""
@@ -210,6 +216,7 @@
 	present := m.objects[key]
 	if m.phase == phaseJoined && !sameSet(want.Witnesses, m.members[want.Name].Witnesses) {
 		m.own.pendingSets = append(m.own.pendingSets, want.Witnesses)
+		m.membersChanged()
 		m.own.setAt = m.now.Add(setChangeEvery)
 		if m.needRescue() {
 			m.own.rescueAt = m.now.Add(rescueEvery)
@@ -242,6 +249,7 @@
 // is in the object is the only one.
 func (m *Machine) onOwnMember(mem *cluster.Member) {
 	m.own.pendingSets = nil
+	m.membersChanged()
 	m.own.retryAt = min(m.own.retryAt, m.now)
 	if m.phase == phaseJoining && m.isOurJoin(mem) {
 		m.joined(mem)
@@ -279,6 +287,7 @@
 func (m *Machine) joined(mem *cluster.Member) {
 	m.self = mem.MemberRef
 	m.phase = phaseJoined
+	m.membersChanged()
 	m.useSets()
 	m.nextRenew = m.now
 	m.dirty = true
--- a/internal/control/objects.go
+++ b/internal/control/objects.go
@@ -145,6 +145,7 @@
 func (m *Machine) onMember(mem *cluster.Member) {
 	old := m.members[mem.Name]
 	m.members[mem.Name] = mem
+	m.membersChanged()
 	m.dirty = true
 	if old != nil && old.MemberRef != mem.MemberRef {
 		m.memberGone(old.MemberRef)
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -24,7 +24,7 @@
 // watchPlatform decides whether this node watches for its zone, and reads
 // again what the watch may have skipped.
 func (m *Machine) watchPlatform() {
-	m.watching = m.phase == phaseJoined && m.watchRank() < watchersPerZone
+	m.watching = m.phase == phaseJoined && m.fromMembers().watchRank < watchersPerZone
 	if !m.watching {
 		return
 	}
@@ -40,19 +40,6 @@
 	}
 }
 
-// watchRank is how many live members of the zone come before this one.
-func (m *Machine) watchRank() int {
-	zone := m.params.Self.Zone
-	mine := cluster.Rank("watch/"+zone, m.self.Name)
-	rank := 0
-	for _, p := range m.members {
-		if p.Zone == zone && p.State == cluster.StateActive && cluster.Rank("watch/"+zone, p.Name) > mine {
-			rank++
-		}
-	}
-	return rank
-}
-
 // buildView makes the picture that the traffic goroutines read. Tables that
 // have not changed are shared with the earlier one.
 func (m *Machine) buildView() *view.View {
--- a/internal/control/units.go
+++ b/internal/control/units.go
@@ -61,6 +61,7 @@
 func (m *Machine) onGroup(key string, g *cluster.Group) {
 	old := m.groups[key]
 	m.groups[key] = g
+	m.placeRev++
 	m.staleTab[g.Service] = true
 	m.dirty = true
 	if m.phase != phaseJoined {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -156,6 +156,9 @@
 // RefusedBy reports whether the witness has voted against this holder.
 func (h *Holder) RefusedBy(w cluster.MemberRef) bool { return h.refused[w] }
 
+// Refusals returns how many witnesses have voted against this holder.
+func (h *Holder) Refusals() int { return len(h.refused) }
+
 // LastAck returns when the newest answered renewal to the witness was sent.
 func (h *Holder) LastAck(w cluster.MemberRef) clock.Mono { return h.acked[w] }
 
