Dissolve a pin only when its shard is served as well

A pin was dissolved as soon as its owner served it. If the shard was still pending there, the key had to wait with it. If the shard was served but its earlier owners were still listed, the raised epoch made the owner wait for their releases once more, although it had served already. Now both must be known to be served, and the shard's list is emptied.

The table and walk tests fail without the new condition.

--- a/internal/placement/apply.go
+++ b/internal/placement/apply.go
@@ -85,15 +85,16 @@
 	return true
 }
 
-// removePin returns a key to its shard, which has the same owner. That owner
-// serves the pin, so the pin's earlier owners have released it; the shard's
-// own predecessors stay.
+// removePin returns a key to its shard. The owner of both serves both, so all
+// earlier owners have released them or are gone; were they still listed, the
+// shard's new epoch would have to wait for them again.
 func (a *applier) removePin(at int, shard *cluster.Assignment, m Move) bool {
 	pin := a.group.Pins[at]
-	if pin.Epoch != m.FromEpoch || !m.FromServing || pin.Owner != shard.Owner {
+	asPlanned := pin.Epoch == m.FromEpoch && shard.Epoch == m.ShardEpoch
+	if !asPlanned || !m.FromServing || pin.Owner != shard.Owner {
 		return false
 	}
-	shard.Epoch = max(shard.Epoch, pin.Epoch) + 1
+	*shard = cluster.Assignment{Owner: shard.Owner, Epoch: max(shard.Epoch, pin.Epoch) + 1}
 	a.group.Pins = slices.Delete(a.group.Pins, at, at+1)
 	return true
 }
--- a/internal/placement/pins.go
+++ b/internal/placement/pins.go
@@ -73,10 +73,11 @@
 }
 
 // canRemove reports whether a cold pin can be dissolved now: it and its shard
-// have one owner, that doesn't change, and that is known to serve the pin.
+// have one owner, that doesn't change, and that is known to serve both. Were
+// the shard still pending, the key would have to wait with it.
 func (s *state) canRemove(pin *unitState) bool {
 	settled := pin.from != noNode && pin.from == pin.node
 	together := pin.from == pin.shard.from && pin.from == pin.shard.node
-	epoch, ok := s.in.Serving[pin.unit]
-	return settled && together && ok && epoch == pin.held.Epoch
+	return settled && together &&
+		s.serves(pin.unit, pin.held.Epoch) && s.serves(pin.shard.unit, pin.shard.held.Epoch)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -114,8 +114,9 @@
 	// FromServing is true if the present owner is known to serve at FromEpoch.
 	FromServing bool
 	// Remove is true if the pin is dissolved; To is then its owner and that of
-	// its shard.
-	Remove bool
+	// its shard, which it is known to serve at ShardEpoch.
+	Remove     bool
+	ShardEpoch uint64
 }
 
 // InitialGroups returns the placement groups of a service that is new: no
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -196,8 +196,13 @@
 		t.Fatalf("the pin changes before it is served: %v", again)
 	}
 	in.Serving[pin] = 10
+	if again := Plan(in); len(again) != 0 {
+		t.Fatalf("the pin is dissolved before its shard is served: %v", again)
+	}
+	in.Serving[cluster.Unit{Service: testService, Shard: 5}] = in.Shards[5].Epoch
+	in.Shards[5].Predecessors = []cluster.Predecessor{{MemberRef: away, Epoch: 1}}
 	in = apply(in, Plan(in), isGone(in.Nodes))
-	if len(in.Pins) != 0 || in.Shards[5].Epoch != 11 || in.Shards[5].Owner != home {
+	if len(in.Pins) != 0 || !reflect.DeepEqual(in.Shards[5], cluster.Assignment{Owner: home, Epoch: 11}) {
 		t.Fatalf("the pin was not dissolved: %+v %+v", in.Pins, in.Shards[5])
 	}
 	if again := Plan(in); len(again) != 0 {
@@ -214,7 +219,8 @@
 		{"based on an older epoch", Move{Unit: shard, To: ref(1), Reason: Balance, FromEpoch: 3}},
 		{"new pin based on an older epoch", Move{Unit: cluster.Unit{Service: testService, Key: "x"}, To: ref(1), Reason: HotKey, FromEpoch: 3}},
 		{"pin that is not there", Move{Unit: cluster.Unit{Service: testService, Key: "x"}, To: ref(1), Reason: Unpin, FromEpoch: 4}},
-		{"pin dissolved before it is served", Move{Unit: pin, To: ref(0), Reason: Unpin, FromEpoch: 6, Remove: true}},
+		{"pin dissolved before it is served", Move{Unit: pin, To: ref(0), Reason: Unpin, FromEpoch: 6, Remove: true, ShardEpoch: 4}},
+		{"pin dissolved after its shard moved", Move{Unit: pin, To: ref(0), Reason: Unpin, FromEpoch: 6, FromServing: true, Remove: true, ShardEpoch: 3}},
 		{"shard of another group", Move{Unit: cluster.Unit{Service: testService, Shard: 1}, To: ref(1), FromEpoch: 4}},
 	}
 	g := &cluster.Group{Service: testService, Shards: []cluster.Assignment{{Owner: ref(0), Epoch: 4}}}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -184,6 +184,12 @@
 
 func (s *state) load(u cluster.Unit) float64 { return max(0, s.in.Load[u]) }
 
+// serves reports whether a unit is known to be served at an epoch.
+func (s *state) serves(u cluster.Unit, epoch uint64) bool {
+	e, ok := s.in.Serving[u]
+	return ok && e == epoch
+}
+
 // fairShare returns the mean load of a node in requests/s.
 func (s *state) fairShare() float64 { return s.total / float64(len(s.nodes)) }
 
@@ -229,18 +235,18 @@
 	if u.created {
 		known = u.shard.unit
 	}
-	epoch, ok := s.in.Serving[known]
 	m := Move{
 		Unit:        u.unit,
 		To:          s.nodes[u.node].ref,
 		Reason:      u.reason,
 		FromEpoch:   u.held.Epoch,
-		FromServing: ok && epoch == u.held.Epoch,
+		FromServing: s.serves(known, u.held.Epoch),
 		Remove:      remove,
 	}
 	switch {
 	case remove:
 		m.Reason = Unpin
+		m.ShardEpoch = u.shard.held.Epoch
 	case u.created:
 		m.Reason = HotKey
 	}
