--- a/test/demo/stop.go
+++ b/test/demo/stop.go
@@ -33,34 +33,59 @@
 }
 
 // stopPlanned stops a node under load and with slow requests in flight, and
-// checks that none of them is cut. Then the VM is started again.
+// checks that none of them is cut. Then the VM is started again, still under
+// load.
 func (d *demo) stopPlanned(n *harness.Node, seed uint64, stop func() error) error {
 	load := d.startLoad(seed)
 	time.Sleep(loadSettle)
-	slow := d.startSlow(n)
-	time.Sleep(slowHeadStart)
-	d.fleet.Avoid(n)
-	began := time.Now()
-	if err := stop(); err != nil {
-		load.Stop()
-		return err
+	took, slow, err := d.stopUnderLoad(n, stop)
+	if err == nil {
+		err = d.rejoin(n)
 	}
-	ended, err := d.awaitExit(n)
-	finished := slow()
-	time.Sleep(loadSettle)
 	attempts := load.Stop()
-	d.attempts = append(append(d.attempts, attempts...), finished...)
+	d.attempts = append(append(d.attempts, attempts...), slow...)
 	if err != nil {
 		return err
 	}
-	if err := reportStop(n, ended.Sub(began), finished, attempts); err != nil {
-		return err
+	return reportStop(n, took, slow, attempts)
+}
+
+// stopUnderLoad stops a node and returns how long that took and what became of
+// the slow requests.
+func (d *demo) stopUnderLoad(n *harness.Node, stop func() error) (time.Duration, []harness.Attempt, error) {
+	slow := d.startSlow(n)
+	time.Sleep(slowHeadStart)
+	d.fleet.Avoid(n)
+	began := time.Now()
+	err := stop()
+	if err == nil {
+		err = d.awaitExit(n)
 	}
+	took := time.Since(began)
+	return took, slow(), err
+}
+
+// rejoin starts a stopped VM again and waits until it serves.
+func (d *demo) rejoin(n *harness.Node) error {
 	d.fleet.KillBackend(n)
 	if err := d.startVM(n); err != nil {
 		return err
 	}
-	return d.await("all nodes serve", joinTimeout, func() error { return d.allServed(nodes) })
+	began := time.Now()
+	if err := d.await("all nodes serve", joinTimeout, func() error { return d.allServed(nodes) }); err != nil {
+		return err
+	}
+	fmt.Printf("   %s serves again %s after its start; shards by node: %v\n", n.Name, round(time.Since(began)), d.shardCounts())
+	return nil
+}
+
+// shardCounts lists how many shards each node serves.
+func (d *demo) shardCounts() []int {
+	var counts []int
+	for _, n := range d.last.Nodes {
+		counts = append(counts, n.Owned.Serving)
+	}
+	return counts
 }
 
 // startSlow sends slow requests for keys that the node owns, half of them
@@ -100,19 +125,18 @@
 }
 
 // awaitExit waits until the node's process has ended with code 0.
-func (d *demo) awaitExit(n *harness.Node) (time.Time, error) {
+func (d *demo) awaitExit(n *harness.Node) error {
 	select {
 	case <-n.Node.Exited():
 	case <-time.After(stopBound):
-		return time.Now(), fmt.Errorf("%s still runs %s after the stop began", n.Name, stopBound)
+		return fmt.Errorf("%s still runs %s after the stop began", n.Name, stopBound)
 	case <-d.ctx.Done():
-		return time.Now(), errors.New("interrupted")
+		return errors.New("interrupted")
 	}
-	ended := time.Now()
 	if code := n.Node.ExitCode(); code != 0 {
-		return ended, fmt.Errorf("%s ended with code %d:\n%s", n.Name, code, n.Node.LogTail(1000))
+		return fmt.Errorf("%s ended with code %d:\n%s", n.Name, code, n.Node.LogTail(1000))
 	}
-	return ended, nil
+	return nil
 }
 
 // reportStop checks that nothing was cut off by the stop.
