--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -34,63 +34,66 @@
 	until time.Duration
 }
 
-func TestHolder(t *testing.T) {
-	held := params.Held()
-	cases := map[string]struct {
-		sets  [][]cluster.Witness
-		steps []step
-	}{
-		"a majority of three": {
-			sets: [][]cluster.Witness{set("a", "b", "c")},
-			steps: []step{
-				{begin: true, when: 0},
-				{from: "a", answer: Answer{Seq: 1, Extended: true}, when: 100 * ms},
-				{from: "b", answer: Answer{Seq: 1, Extended: true}, when: 400 * ms, until: held},
-			},
+// held is how much of a promise a holder counts on.
+var held = params.Held()
+
+var holderCases = map[string]struct {
+	sets  [][]cluster.Witness
+	steps []step
+}{
+	"a majority of three": {
+		sets: [][]cluster.Witness{set("a", "b", "c")},
+		steps: []step{
+			{begin: true, when: 0},
+			{from: "a", answer: Answer{Seq: 1, Extended: true}, when: 100 * ms},
+			{from: "b", answer: Answer{Seq: 1, Extended: true}, when: 400 * ms, until: held},
 		},
-		"counted from the sending, not from the answer": {
-			sets: [][]cluster.Witness{set("a")},
-			steps: []step{
-				{begin: true, when: 0},
-				{begin: true, when: 500 * ms},
-				{from: "a", answer: Answer{Seq: 1, Extended: true}, when: 900 * ms, until: held},
-				{from: "a", answer: Answer{Seq: 2, Extended: true}, when: 950 * ms, until: 500*ms + held},
-			},
+	},
+	"counted from the sending, not from the answer": {
+		sets: [][]cluster.Witness{set("a")},
+		steps: []step{
+			{begin: true, when: 0},
+			{begin: true, when: 500 * ms},
+			{from: "a", answer: Answer{Seq: 1, Extended: true}, when: 900 * ms, until: held},
+			{from: "a", answer: Answer{Seq: 2, Extended: true}, when: 950 * ms, until: 500*ms + held},
 		},
-		"both sets while a change is pending": {
-			sets: [][]cluster.Witness{set("a"), set("b")},
-			steps: []step{
-				{begin: true, when: 0},
-				{from: "b", answer: Answer{Seq: 1, Extended: true}, when: 10 * ms},
-				{from: "a", answer: Answer{Seq: 1, Extended: true}, when: 20 * ms, until: held},
-			},
+	},
+	"both sets while a change is pending": {
+		sets: [][]cluster.Witness{set("a"), set("b")},
+		steps: []step{
+			{begin: true, when: 0},
+			{from: "b", answer: Answer{Seq: 1, Extended: true}, when: 10 * ms},
+			{from: "a", answer: Answer{Seq: 1, Extended: true}, when: 20 * ms, until: held},
 		},
-		"an answer without a promise counts for nothing": {
-			sets: [][]cluster.Witness{set("a")},
-			steps: []step{
-				{begin: true, when: 0},
-				{from: "a", answer: Answer{Seq: 1}, when: 10 * ms},
-			},
+	},
+	"an answer without a promise counts for nothing": {
+		sets: [][]cluster.Witness{set("a")},
+		steps: []step{
+			{begin: true, when: 0},
+			{from: "a", answer: Answer{Seq: 1}, when: 10 * ms},
 		},
-		"a witness that voted takes its promise with it": {
-			sets: [][]cluster.Witness{set("a")},
-			steps: []step{
-				{begin: true, when: 0},
-				{from: "a", answer: Answer{Seq: 1, Extended: true}, when: 10 * ms, until: held},
-				{begin: true, when: 500 * ms, until: held},
-				{from: "a", answer: Answer{Seq: 2, Refused: true}, when: 510 * ms},
-				{from: "a", answer: Answer{Seq: 1, Extended: true}, when: 520 * ms},
-			},
+	},
+	"a witness that voted takes its promise with it": {
+		sets: [][]cluster.Witness{set("a")},
+		steps: []step{
+			{begin: true, when: 0},
+			{from: "a", answer: Answer{Seq: 1, Extended: true}, when: 10 * ms, until: held},
+			{begin: true, when: 500 * ms, until: held},
+			{from: "a", answer: Answer{Seq: 2, Refused: true}, when: 510 * ms},
+			{from: "a", answer: Answer{Seq: 1, Extended: true}, when: 520 * ms},
 		},
-		"a peer outside the set": {
-			sets: [][]cluster.Witness{set("a")},
-			steps: []step{
-				{begin: true, when: 0},
-				{from: "z", answer: Answer{Seq: 1, Extended: true}, when: 10 * ms},
-			},
+	},
+	"a peer outside the set": {
+		sets: [][]cluster.Witness{set("a")},
+		steps: []step{
+			{begin: true, when: 0},
+			{from: "z", answer: Answer{Seq: 1, Extended: true}, when: 10 * ms},
 		},
-	}
-	for name, c := range cases {
+	},
+}
+
+func TestHolder(t *testing.T) {
+	for name, c := range holderCases {
 		t.Run(name, func(t *testing.T) {
 			h := NewHolder(params)
 			h.SetWitnesses(c.sets...)
