Stop admitting on news of a revision that can't be had

Cause: a node that never received the newer head had no reason to stop admitting, since only the head itself started its time.

Change: promises and renewals carry the revision in force; a newer one starts the 4 s, and its head is asked for from the peer that named it.

Ruled out: spreading a head before its parts are at hand, which makes each hop fetch from a peer that has nothing.

Measured: with all configuration objects withheld from one of 7 nodes it stops admitting within 6 s while its lease still holds; 50 changes in a minute never go back and end in force on 7 of 7.

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -30,6 +30,7 @@
 	}
 	m.head = head
 	m.headAt = m.now
+	m.noteRevision(head.Revision)
 	m.headFrom = from
 	missing := m.assembleConfig()
 	if from != noPeer && len(missing) > 0 {
@@ -40,13 +41,13 @@
 // assembleConfig puts the known head in force if its parts are complete, and
 // returns the keys that are missing.
 func (m *Machine) assembleConfig() []string {
+	m.refuseIfLate()
 	if m.head.Revision == 0 || m.revision() == m.head.Revision {
 		return nil
 	}
 	cfg, missing, err := config.Assemble(m.head, m.objectValue)
 	if err != nil || len(missing) > 0 {
 		m.seekParts(missing)
-		m.refuseIfLate()
 		return missing
 	}
 	m.adoptConfig(cfg)
@@ -69,10 +70,40 @@
 	}
 }
 
+// noteRevision starts the time within which a revision must be in force.
+func (m *Machine) noteRevision(revision uint64) {
+	if revision <= m.known {
+		return
+	}
+	if m.known <= m.revision() {
+		m.knownAt = m.now
+	}
+	m.known = revision
+}
+
+// hearRevision takes the revision that a peer has in force. One that is newer
+// than the known head is asked for, since news of it must have been missed.
+func (m *Machine) hearRevision(from string, revision uint64) {
+	m.noteRevision(revision)
+	if revision > m.head.Revision {
+		m.fetch(from, []string{cluster.ConfigHeadKey})
+	}
+}
+
+// late reports whether a newer revision has been known for too long without
+// being in force here.
+func (m *Machine) late() bool {
+	return m.known > m.revision() && m.knownAt.Add(applyWithin) <= m.now
+}
+
 // refuseIfLate publishes a view again when the time to apply has run out.
 func (m *Machine) refuseIfLate() {
-	if m.headAt.Add(applyWithin) <= m.now {
+	if late := m.late(); late != m.wasLate {
+		m.wasLate = late
 		m.dirty = true
+		if late {
+			m.event(timeline.Event{Kind: timeline.KindConfig, Revision: m.known, Text: "a known revision can't be applied in time, no requests are admitted"})
+		}
 	}
 }
 
@@ -124,8 +155,8 @@
 	if m.config == nil {
 		return false, "no configuration is in force yet"
 	}
-	if m.revision() < m.head.Revision && m.headAt.Add(applyWithin) <= m.now {
-		return false, fmt.Sprintf("revision %d is known but can't be applied", m.head.Revision)
+	if m.late() {
+		return false, fmt.Sprintf("revision %d is known but not in force", m.known)
 	}
 	return true, ""
 }
--- /dev/null
+++ b/internal/control/configuration_test.go
@@ -0,0 +1,148 @@
+package control
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/config"
+	"fulmarhinge/internal/contract"
+	"fulmarhinge/internal/platform"
+)
+
+// accept changes the contract in the fake platform and returns the revision.
+func (f *fleet) accept(t *testing.T, rate float64) uint64 {
+	t.Helper()
+	editor := config.NewEditor(&fleetStore{f: f})
+	done, err := editor.Apply(context.Background(), config.AnyRevision, func(c *config.Config) error {
+		ct := c.Contracts["c"]
+		ct.Total = contract.Terms{Rate: rate, Burst: 10, MaxWaiting: 10, MaxTime: contract.Duration(runTime)}
+		c.Contracts["c"] = ct
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return done.Revision
+}
+
+// fleetStore lets an editor work on the fake platform. The editor calls it
+// from several goroutines.
+type fleetStore struct {
+	platform.Store
+	mu sync.Mutex
+	f  *fleet
+}
+
+// Get implements platform.Store.
+func (s *fleetStore) Get(_ context.Context, key string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.f.store[key]
+	if !ok {
+		return o, platform.ErrNotFound.New("%s", key)
+	}
+	return o, nil
+}
+
+// Put implements platform.Store.
+func (s *fleetStore) Put(_ context.Context, key string, expected uint64, value []byte) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, ok := s.f.put(Write{Key: key, Expected: expected, Value: value})
+	if !ok {
+		return 0, platform.ErrConflict.New("%s", key)
+	}
+	return v, nil
+}
+
+// inForce returns how many nodes have the revision in force.
+func (f *fleet) inForce(revision uint64) int {
+	n := 0
+	for _, s := range f.nodes {
+		if s.view != nil && s.view.Config != nil && s.view.Config.Revision >= revision {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAcceptedChangeIsInForceEverywhere(t *testing.T) {
+	cases := map[string]func(f *fleet){
+		"nothing fails":                func(*fleet) {},
+		"a node without the platform":  func(f *fleet) { f.nodes[2].m.watching = false },
+		"a one-way cut to one witness": func(f *fleet) { f.cut[[2]string{"n1", "n2"}] = true },
+		"doubled and late messages":    func(f *fleet) { f.double = true },
+		"a slow platform":              func(f *fleet) { f.slow = 300 * time.Millisecond },
+	}
+	for name, inject := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := settled(t, 7, true)
+			inject(f)
+			r := f.accept(t, 50)
+			f.advance(applyWithin)
+			if got := f.inForce(r); got != len(f.nodes) {
+				t.Fatalf("in force on %d of %d nodes after %s", got, len(f.nodes), applyWithin)
+			}
+		})
+	}
+}
+
+func TestFiftyChangesNeverGoBack(t *testing.T) {
+	f := settled(t, 7, true)
+	f.double = true
+	var last uint64
+	highest := map[string]uint64{}
+	for i := range 50 {
+		last = f.accept(t, float64(10+i))
+		f.advance(1200 * time.Millisecond)
+		for _, s := range f.nodes {
+			now := s.view.Config.Revision
+			if now < highest[s.name] {
+				t.Fatalf("%s went from revision %d back to %d", s.name, highest[s.name], now)
+			}
+			highest[s.name] = now
+		}
+	}
+	f.advance(applyWithin)
+	if got := f.inForce(last); got != len(f.nodes) {
+		t.Fatalf("revision %d is in force on %d nodes", last, got)
+	}
+}
+
+// A node that hears of a revision from its peers but can get neither head nor
+// parts must stop admitting, and say why.
+func TestNodeThatCannotCatchUpStopsAdmitting(t *testing.T) {
+	f := settled(t, 7, true)
+	s := f.nodes[2]
+	f.withhold(s)
+	r := f.accept(t, 50)
+	f.advance(applyWithin + 2*time.Second)
+	if s.view.Config.Revision >= r {
+		t.Fatal("the node got the revision after all")
+	}
+	if s.view.Admitting || s.view.Reason == "" {
+		t.Fatal("the node still admits")
+	}
+	if s.lease <= f.local(s) {
+		t.Fatal("the node lost its lease, so this test shows nothing")
+	}
+}
+
+// withhold keeps all objects of the configuration from a node.
+func (f *fleet) withhold(s *simNode) {
+	s.deaf = func(key string) bool {
+		return strings.HasPrefix(key, cluster.ConfigPrefix)
+	}
+}
+
+// Delete implements platform.Store.
+func (s *fleetStore) Delete(_ context.Context, key string, _ uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.f.store, key)
+	return nil
+}
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -55,6 +55,8 @@
 	stop    []UnitIdle
 	runs    []run
 	tickAt  time.Duration
+	// deaf hides objects from the node.
+	deaf func(key string) bool
 }
 
 type delivery struct {
@@ -168,13 +170,33 @@
 	f.queue = later
 	slices.SortFunc(due, func(a, b delivery) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.seq, b.seq)) })
 	for _, d := range due {
-		if d.to.alive && d.to.m == d.inst {
+		if d.to.alive && d.to.m == d.inst && !d.to.hidden(d.ev) {
 			d.to.m.Step(f.local(d.to), d.ev)
 			f.carryOut(d.to)
 		}
 	}
 }
 
+// hidden reports whether an event carries an object that is kept from the node.
+func (s *simNode) hidden(ev Event) bool {
+	if s.deaf == nil {
+		return false
+	}
+	switch e := ev.(type) {
+	case Observed:
+		return s.deaf(e.Objects[0].Key)
+	case ReadDone:
+		return s.deaf(e.Object.Key)
+	case Message:
+		for _, o := range e.Body.GetObjects().GetObjects() {
+			if s.deaf(o.Key) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (f *fleet) stepNode(s *simNode) {
 	f.finishRuns(s)
 	if !f.running(s) {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -67,6 +67,10 @@
 	config    *config.Config
 	head      config.Head
 	headAt    clock.Mono
+	// known is the newest revision that anybody has named, knownAt since when.
+	known   uint64
+	knownAt clock.Mono
+	wasLate bool
 	// headFrom is the peer that the head came from.
 	headFrom string
 	maxTime  map[string]time.Duration
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -357,7 +357,7 @@
 		Seq:            seq,
 		Heard:          m.holder.Heard(w.MemberRef),
 		PromiseMs:      uint64(m.params.Lease.Promise.Milliseconds()),
-		ConfigRevision: m.head.Revision,
+		ConfigRevision: m.revision(),
 		Digest:         m.digest,
 	}}})
 }
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -65,10 +65,11 @@
 		Seq:            a.Seq,
 		Refused:        a.Refused,
 		Extended:       a.Extended,
-		ConfigRevision: m.head.Revision,
+		ConfigRevision: m.revision(),
 		Digest:         m.digest,
 	}}})
 	m.compareDigest(from.Name, r.GetDigest())
+	m.hearRevision(from.Name, r.GetConfigRevision())
 }
 
 // onPromise takes a witness's answer. One that was not extended because the
@@ -77,6 +78,7 @@
 	before := m.holder.Heard(from)
 	m.holder.Answered(from, lease.Answer{Seq: p.GetSeq(), Extended: p.GetExtended(), Refused: p.GetRefused()})
 	m.compareDigest(from.Name, p.GetDigest())
+	m.hearRevision(from.Name, p.GetConfigRevision())
 	m.checkOwnLease()
 	if !p.GetExtended() && !p.GetRefused() && m.holder.Heard(from) > before {
 		m.nextRenew = m.now
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -131,7 +131,7 @@
 		Self:          m.self,
 		Phase:         phaseNames[m.phase],
 		InForce:       m.revision(),
-		Known:         m.head.Revision,
+		Known:         m.known,
 		Admitting:     admitting,
 		Reason:        reason,
 		LeaseLeft:     max(0, m.leaseUntil().Sub(m.now)),
