--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,6 +82,7 @@
 		Fleet: s.Fleet, Self: cluster.MemberRef{Name: s.Name},
 		Listen: s.Peer.Listen, DialFrom: s.Peer.DialFrom, Logger: log,
 	}, n.onControl, n.gate.ServeStream)
+	n.registerMetrics()
 	n.announce = backend.NewListener(s.Backend.Listen, log, n.onBackend)
 	n.loop = newLoop(n, control.New(params(s, strings.TrimSpace(string(boot)))))
 	n.entry = caller.New(caller.Config{Listen: s.Caller.Listen, Limits: caller.Limits{
--- /dev/null
+++ b/test/bench/cost/main.go
@@ -0,0 +1,122 @@
+// Command cost measures what control costs at several fleet sizes, with real
+// processes and no requests: processor time, memory and bytes of a node, and
+// the platform's calls of the whole fleet. It prints a table and writes JSON.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"fulmarhinge/internal/config"
+	"fulmarhinge/internal/contract"
+	"fulmarhinge/test/fault/harness"
+)
+
+const (
+	// settleTime lets joins, witness sets and placement come to rest.
+	settleTime = 15 * time.Second
+	// service is divided by key, with 16 shards a node.
+	service       = "painel"
+	shardsPerNode = 16
+)
+
+// Row is what one fleet size cost in the steady state.
+type Row struct {
+	Nodes int `json:"nodes"`
+	// CPUPercent, MemoryMB and BytesPerSecond are means for one node; the
+	// bytes are those of control sessions, sent and received.
+	CPUPercent     float64 `json:"cpu_percent_of_a_core"`
+	MaxCPUPercent  float64 `json:"max_cpu_percent_of_a_core"`
+	MemoryMB       float64 `json:"memory_mb"`
+	BytesPerSecond float64 `json:"control_bytes_per_second"`
+	MessagesPerSec float64 `json:"control_messages_per_second"`
+	// The platform's calls a second of the whole fleet.
+	PlatformReads   float64 `json:"platform_reads_per_second"`
+	PlatformWrites  float64 `json:"platform_writes_per_second"`
+	PlatformWatches float64 `json:"platform_watches_waiting"`
+	// JoinWrites are the writes of the whole start, for one node.
+	JoinWrites float64 `json:"writes_per_join"`
+}
+
+func main() {
+	sizes := flag.String("sizes", "10,50,100", "fleet sizes, separated by commas")
+	length := flag.Duration("for", 20*time.Second, "how long each size is measured")
+	out := flag.String("out", "", "file for the results as JSON; none if empty")
+	flag.Parse()
+	if err := run(*sizes, *length, *out); err != nil {
+		fmt.Fprintln(os.Stderr, "cost:", err)
+		os.Exit(1)
+	}
+}
+
+func run(sizes string, length time.Duration, out string) error {
+	binaries, err := harness.Build()
+	if err != nil {
+		return err
+	}
+	defer binaries.Close()
+	var rows []Row
+	fmt.Printf("%6s %8s %8s %8s %9s %8s %8s %8s %8s %8s\n", "nodes", "cpu %", "max %", "MB",
+		"bytes/s", "msgs/s", "reads/s", "writes/s", "watches", "joinwr")
+	for _, field := range strings.Split(sizes, ",") {
+		n, err := strconv.Atoi(field)
+		if err != nil {
+			return fmt.Errorf("--sizes: expected numbers separated by commas, got %q", field)
+		}
+		row, err := measure(binaries, n, length)
+		if err != nil {
+			return fmt.Errorf("%d nodes: %w", n, err)
+		}
+		fmt.Printf("%6d %8.2f %8.2f %8.1f %9.0f %8.1f %8.1f %8.2f %8.1f %8.1f\n", row.Nodes, row.CPUPercent, row.MaxCPUPercent,
+			row.MemoryMB, row.BytesPerSecond, row.MessagesPerSec, row.PlatformReads, row.PlatformWrites, row.PlatformWatches, row.JoinWrites)
+		rows = append(rows, row)
+	}
+	if out == "" {
+		return nil
+	}
+	b, err := json.MarshalIndent(rows, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(filepath.Dir(out), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(out, append(b, '\n'), 0o644)
+}
+
+func measure(binaries *harness.Binaries, n int, length time.Duration) (Row, error) {
+	dir, err := os.MkdirTemp("", "cost")
+	if err != nil {
+		return Row{}, err
+	}
+	defer os.RemoveAll(dir)
+	terms := contract.Terms{Rate: 1000, Burst: 100, MaxWaiting: 100, MaxTime: contract.Duration(time.Second)}
+	f, err := harness.Start(harness.Options{
+		Dir: dir, Binaries: binaries, Nodes: n, Slots: 20,
+		Zones:     []string{"zone-1", "zone-2", "zone-3"},
+		Service:   config.Service{Name: service, DividedByKey: true, Shards: shardsPerNode * n, ChecksFence: true},
+		Contracts: []contract.Contract{{Customer: "c", Total: terms}},
+	})
+	defer f.Stop()
+	if err != nil {
+		return Row{}, err
+	}
+	time.Sleep(settleTime)
+	before, err := sample(f)
+	if err != nil {
+		return Row{}, err
+	}
+	began := time.Now()
+	time.Sleep(length)
+	after, err := sample(f)
+	if err != nil {
+		return Row{}, err
+	}
+	return after.since(before, time.Since(began)), nil
+}
--- /dev/null
+++ b/test/bench/cost/sample.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"fulmarhinge/internal/platform"
+	"fulmarhinge/test/fault/harness"
+)
+
+// clockTick is the unit of processor time in /proc, as the kernel exports it.
+const clockTick = 10 * time.Millisecond
+
+// totals are counters of a whole fleet at one moment.
+type totals struct {
+	cpu      []time.Duration
+	memory   float64
+	bytes    float64
+	messages float64
+	calls    platform.Counts
+}
+
+func sample(f *harness.Fleet) (totals, error) {
+	var t totals
+	for _, n := range f.Nodes {
+		cpu, err := processorTime(n.Node.Pid())
+		if err != nil {
+			return t, err
+		}
+		t.cpu = append(t.cpu, cpu)
+		m, err := scrape(n.OperatorAddr)
+		if err != nil {
+			return t, err
+		}
+		t.bytes += m["fulmarhinge_control_bytes_sent"] + m["fulmarhinge_control_bytes_received"]
+		t.messages += m["fulmarhinge_control_messages_sent"] + m["fulmarhinge_control_messages_received"]
+		t.memory += m["process_resident_memory_bytes"]
+	}
+	var err error
+	t.calls, err = f.PlatformCounts()
+	return t, err
+}
+
+// since returns the rates between two samples.
+func (t totals) since(old totals, d time.Duration) Row {
+	n := float64(len(t.cpu))
+	r := Row{
+		Nodes:           len(t.cpu),
+		MemoryMB:        t.memory / n / (1 << 20),
+		BytesPerSecond:  (t.bytes - old.bytes) / n / d.Seconds(),
+		MessagesPerSec:  (t.messages - old.messages) / n / d.Seconds(),
+		PlatformReads:   float64(t.calls.Get+t.calls.List-old.calls.Get-old.calls.List) / d.Seconds(),
+		PlatformWrites:  float64(t.calls.Put-old.calls.Put) / d.Seconds(),
+		PlatformWatches: float64(t.calls.WatchWaiting),
+		JoinWrites:      float64(old.calls.Put) / n,
+	}
+	for i := range t.cpu {
+		percent := 100 * (t.cpu[i] - old.cpu[i]).Seconds() / d.Seconds()
+		r.CPUPercent += percent / n
+		r.MaxCPUPercent = max(r.MaxCPUPercent, percent)
+	}
+	return r
+}
+
+// processorTime returns the user and system time that a process has used.
+func processorTime(pid int) (time.Duration, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	// The name in brackets may hold spaces; user and system time are the 12th
+	// and 13th fields after it.
+	_, rest, _ := strings.Cut(string(b), ") ")
+	fields := strings.Fields(rest)
+	var ticks int64
+	for _, f := range fields[11:13] {
+		v, err := strconv.ParseInt(f, 10, 64)
+		if err != nil {
+			return 0, err
+		}
+		ticks += v
+	}
+	return time.Duration(ticks) * clockTick, nil
+}
+
+// scrape reads the metrics of a node.
+func scrape(operator string) (map[string]float64, error) {
+	resp, err := http.Get("http://" + operator + "/metrics")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	out := map[string]float64{}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, value, ok := strings.Cut(lines.Text(), " ")
+		if !ok || strings.HasPrefix(name, "#") {
+			continue
+		}
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			out[name] = v
+		}
+	}
+	return out, lines.Err()
+}
