--- a/internal/control/objects.go
+++ b/internal/control/objects.go
@@ -145,6 +145,7 @@
 func (m *Machine) onMember(mem *cluster.Member) {
 	old := m.members[mem.Name]
 	m.members[mem.Name] = mem
+	m.membersChanged()
 	m.dirty = true
 	if old != nil && old.MemberRef != mem.MemberRef {
 		m.memberGone(old.MemberRef)
@@ -194,3 +195,6 @@
 	}
 	return false
 }
+
+// Prefixes returns the prefixes of all objects that a node follows.
+func Prefixes() []string { return slices.Clone(loadPrefixes) }
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -24,7 +24,7 @@
 // watchPlatform decides whether this node watches for its zone, and reads
 // again what the watch may have skipped.
 func (m *Machine) watchPlatform() {
-	m.watching = m.phase == phaseJoined && m.watchRank() < watchersPerZone
+	m.watching = m.phase == phaseJoined && m.fromMembers().watchRank < watchersPerZone
 	if !m.watching {
 		return
 	}
@@ -40,19 +40,6 @@
 	}
 }
 
-// watchRank is how many live members of the zone come before this one.
-func (m *Machine) watchRank() int {
-	zone := m.params.Self.Zone
-	mine := cluster.Rank("watch/"+zone, m.self.Name)
-	rank := 0
-	for _, p := range m.members {
-		if p.Zone == zone && p.State == cluster.StateActive && cluster.Rank("watch/"+zone, p.Name) > mine {
-			rank++
-		}
-	}
-	return rank
-}
-
 // buildView makes the picture that the traffic goroutines read. Tables that
 // have not changed are shared with the earlier one.
 func (m *Machine) buildView() *view.View {
@@ -109,19 +96,21 @@
 
 // Status is what a node says of its control state.
 type Status struct {
-	Self          cluster.MemberRef
-	Phase         string
-	State         cluster.MemberState
-	InForce       uint64
-	Known         uint64
-	Admitting     bool
-	Reason        string
-	LeaseLeft     time.Duration
-	Witnesses     []cluster.Witness
-	WitnessOf     int
-	Pending       int
-	Serving       int
-	Stopping      int
+	Self      cluster.MemberRef
+	Phase     string
+	State     cluster.MemberState
+	InForce   uint64
+	Known     uint64
+	Admitting bool
+	Reason    string
+	LeaseLeft time.Duration
+	Witnesses []cluster.Witness
+	WitnessOf int
+	Pending   int
+	Serving   int
+	Stopping  int
+	// Pins counts the served hot keys, which the three above leave out.
+	Pins          int
 	Members       []cluster.Member
 	Watching      bool
 	Draining      bool
@@ -142,7 +131,7 @@
 		Self:          m.self,
 		Phase:         phaseNames[m.phase],
 		InForce:       m.revision(),
-		Known:         m.head.Revision,
+		Known:         m.known,
 		Admitting:     admitting,
 		Reason:        reason,
 		LeaseLeft:     max(0, m.leaseUntil().Sub(m.now)),
@@ -152,8 +141,8 @@
 		Draining:      m.own.drain,
 		DrainInFlight: m.own.inFlight,
 	}
-	for _, u := range m.units.own {
-		s.countUnit(u.state)
+	for u, cur := range m.units.own {
+		s.countUnit(u, cur.state)
 	}
 	for _, p := range m.memberList() {
 		s.Members = append(s.Members, *p)
@@ -164,7 +153,13 @@
 	return s
 }
 
-func (s *Status) countUnit(state view.UnitState) {
+func (s *Status) countUnit(u cluster.Unit, state view.UnitState) {
+	if u.Key != "" {
+		if state == view.Serving {
+			s.Pins++
+		}
+		return
+	}
 	switch state {
 	case view.Pending:
 		s.Pending++
