Judge backend servers by what the entry has seen, not by what they claim

The score divided by the announced slots, so a server that claimed many drew the load, and one without an answer yet passed for the fastest. Now only requests under way and their latency count; no progress raises the expected latency at once; a new server may have as many requests under way as it has answered, and one; after a failure one at a time.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -55,7 +55,7 @@
 	a.started = true
 	a.length = h.GetContentLength()
 	if a.load != nil {
-		a.load.report(h.GetInFlight(), h.GetSlots(), time.Now())
+		a.load.report(h.GetInFlight(), time.Now())
 	}
 	header.Apply(a.w.Header(), h.GetHeaders())
 	a.stamp(result.OK)
--- /dev/null
+++ b/internal/caller/pool_test.go
@@ -0,0 +1,111 @@
+package caller
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmarhinge/internal/header"
+	"fulmarhinge/internal/result"
+	"fulmarhinge/internal/view"
+)
+
+// One backend server claims to be ready with a thousand times the slots of the
+// others, and is frozen, sheds, or answers slowly at first. Its share falls at
+// once, whatever it claims.
+func TestLoadLeavesBadServersThatClaimToBeWell(t *testing.T) {
+	const requests, workers = 300, 10
+	thaw := make(chan struct{})
+	var once sync.Once
+	defer once.Do(func() { close(thaw) })
+	for _, c := range []struct {
+		name    string
+		bad     func(n int64, w http.ResponseWriter, r *http.Request)
+		most    int64
+		refused bool
+	}{
+		{"frozen", func(int64, http.ResponseWriter, *http.Request) { <-thaw }, 30, true},
+		{"sheds", func(_ int64, w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(header.Shed, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, 30, false},
+		{"cold", func(n int64, _ http.ResponseWriter, _ *http.Request) {
+			if n < 20 {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}, 60, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 3, plainService, func(n *testNode) http.HandlerFunc {
+				return func(w http.ResponseWriter, r *http.Request) {
+					count := n.runs.Add(1)
+					if n.name == "n1" {
+						c.bad(count, w, r)
+						return
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+			})
+			f.nodes[1].ann.Slots = 50_000
+			f.nodes[1].ann.Connections = 50_000
+			f.nodes[1].gate.SetBackend(&f.nodes[1].ann)
+			f.publish(func(int, *view.View) {})
+			var wg sync.WaitGroup
+			for range workers {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					for range requests / workers {
+						got := f.nodes[0].send(t, "POST", "/a/x", strings.NewReader("b"), header.RequestTimeoutMs, "500")
+						if got.code != result.OK && !c.refused {
+							t.Errorf("got %d %s", got.code, got.body)
+						}
+					}
+				}()
+			}
+			wg.Wait()
+			if c.refused {
+				once.Do(func() { close(thaw) })
+			}
+			if n := f.nodes[1].runs.Load(); n > c.most {
+				t.Errorf("the bad server got %d of %d requests, more than %d", n, requests, c.most)
+			}
+		})
+	}
+}
+
+func TestPenaltyDoublesAndEndsWithAnAnswer(t *testing.T) {
+	l := &load{}
+	now := time.Unix(1000, 0)
+	for _, want := range []time.Duration{100, 200, 400, 800, 1600, 3200, 5000, 5000} {
+		l.failed(now)
+		if got := time.Duration(l.avoid.Load() - now.UnixNano()); got != want*time.Millisecond {
+			t.Fatalf("penalty %v, want %v ms", got, want)
+		}
+	}
+	l.succeeded(time.Millisecond, now)
+	if l.avoid.Load() != 0 || l.failures.Load() != 0 {
+		t.Fatal("an answer does not end the penalty")
+	}
+}
+
+func TestBudgetBoundsRetriesToAShareOfTraffic(t *testing.T) {
+	b := newBudget()
+	now := time.Unix(1000, 0)
+	b.second.Store(now.Unix())
+	b.tokens.Store(0)
+	allowed := 0
+	for range 1000 {
+		b.earn(now)
+		for range 3 {
+			if b.spend() {
+				allowed++
+			}
+		}
+	}
+	if allowed != 100 {
+		t.Fatalf("%d retries for 1000 requests", allowed)
+	}
+}
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -121,12 +121,12 @@
 	t.answer.load = t.server.pool.load(m.MemberRef)
 	began := time.Now()
 	l := t.answer.load
-	l.own.Add(1)
+	l.begin(began)
 	refusal = t.server.attempt(ctx, v, t, unit, m)
-	l.own.Add(-1)
+	l.end()
 	switch {
 	case refusal == nil:
-		l.succeeded(time.Since(began))
+		l.succeeded(time.Since(began), time.Now())
 	case blamesServer(refusal.Code):
 		l.failed(time.Now())
 		t.tried[m.Name] = true
