Give each process of a test fleet a port of its own

Cause: about one test fleet in forty did not start. Ports were found by binding port 0 and closing again, so two processes of one IP could be given one port, or an outgoing connection could take it in between. A slow start was ruled out: the processes had exited or refused connections.

Ports are now counted up below the kernel's range for outgoing connections.

--- a/test/fault/harness/addresses.go
+++ b/test/fault/harness/addresses.go
@@ -7,17 +7,23 @@
 	"strconv"
 )
 
+// firstPort is the first port that is handed out. It is below the range that
+// the kernel takes ports of outgoing connections from: such a connection could
+// take a port after it was chosen and before its process listens.
+const firstPort = 20000
+
 // addressPool hands out loopback addresses. Each VM has an IP of its own, so
-// that the relay can tell nodes apart.
+// that the relay can tell nodes apart, and no two addresses have one port.
 type addressPool struct {
 	second, third int
 	nextVM        int
+	nextPort      int
 }
 
 // newAddressPool takes a random /24 of loopback, so that test runs at the same
 // time do not meet. The choice is not part of a test's seed.
 func newAddressPool() *addressPool {
-	return &addressPool{second: 10 + rand.IntN(240), third: rand.IntN(256)}
+	return &addressPool{second: 10 + rand.IntN(240), third: rand.IntN(256), nextPort: firstPort}
 }
 
 // vmIP returns the IP of the next VM.
@@ -26,13 +32,9 @@
 	return fmt.Sprintf("127.%d.%d.%d", a.second, a.third, a.nextVM)
 }
 
-// freeAddress returns an IP:port on which nothing listens.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	port := l.Addr().(*net.TCPAddr).Port
-	return net.JoinHostPort(ip, strconv.Itoa(port)), nil
+// address returns the next IP:port of an IP.
+func (a *addressPool) address(ip string) string {
+	port := a.nextPort
+	a.nextPort++
+	return net.JoinHostPort(ip, strconv.Itoa(port))
 }
--- a/test/fault/harness/fleet.go
+++ b/test/fault/harness/fleet.go
@@ -97,16 +97,8 @@
 // plan chooses all addresses and writes the settings.
 func (f *Fleet) plan() error {
 	ip := f.pool.vmIP()
-	var err error
-	take := func(ip string) string {
-		address, takeErr := freeAddress(ip)
-		if takeErr != nil {
-			err = takeErr
-		}
-		return address
-	}
-	f.platformAddr = take(ip)
-	f.relayAdmin = take(ip)
+	f.platformAddr = f.pool.address(ip)
+	f.relayAdmin = f.pool.address(ip)
 	for i := range f.Options.Nodes {
 		n := &Node{
 			Name:   fmt.Sprintf("node-%02d", i+1),
@@ -114,20 +106,17 @@
 			IP:     f.pool.vmIP(),
 			killed: make(map[string]time.Time),
 		}
-		n.CallerAddr = take(n.IP)
-		n.OperatorAddr = take(n.IP)
-		n.BackendAddr = take(n.IP)
-		n.peerListen = take(n.IP)
-		n.backendListen = take(n.IP)
-		n.peerAdvertise = take(ip)
-		n.platformListen = take(ip)
+		n.CallerAddr = f.pool.address(n.IP)
+		n.OperatorAddr = f.pool.address(n.IP)
+		n.BackendAddr = f.pool.address(n.IP)
+		n.peerListen = f.pool.address(n.IP)
+		n.backendListen = f.pool.address(n.IP)
+		n.peerAdvertise = f.pool.address(ip)
+		n.platformListen = f.pool.address(ip)
 		n.settingsPath = filepath.Join(f.Options.Dir, n.Name+".json")
 		n.runLog = filepath.Join(f.Options.Dir, n.Name+".runs")
 		f.Nodes = append(f.Nodes, n)
 	}
-	if err != nil {
-		return err
-	}
 	for _, n := range f.Nodes {
 		if err := f.settings(n).write(n.settingsPath); err != nil {
 			return err
