--- a/spec/handover.pml
+++ b/spec/handover.pml
@@ -15,10 +15,11 @@
  * succeeds a node that is gone also waits until its requests' deadlines have
  * lapsed. That a deadline lapses only once the request has ended is one rule.
  *
- * Bounds: three VMs, one restart (of VM 0), MAX_EPOCH assignments, one request
- * at a time at each node. Not bounded: how old a node's view is, lost, late
- * and repeated releases and reports, evictions, pauses. What was sent once can
- * arrive at any later time, so messages are recorded as facts of the sender.
+ * Bounds: three VMs, one restart (of VM 0), one clean stop, MAX_EPOCH
+ * assignments, one request at a time at each node. Not bounded: how old a
+ * node's view is, lost, late and repeated releases and reports, evictions,
+ * pauses. What was sent once can arrive at any later time, so messages are
+ * recorded as facts of the sender.
  * The lease check and the dispatch after it are one step. To keep the search
  * small, a node learns only the epochs that concern it (the others change
  * nothing for it), only nodes that were named are evicted, and VM 2, which is
@@ -43,6 +44,7 @@
 /* The member objects. */
 bool up[NODES];        /* its process lives */
 bool gone[NODES];
+bool leaving[NODES];   /* a clean stop has begun to write that it left */
 
 /* The nodes: the epoch of the newest placement seen, and the gate's state. */
 byte view[NODES];
@@ -107,7 +109,11 @@
 #ifdef SERVE_WITHOUT_LEASE
 #define LEASE_VALID(i) (true)
 #else
-#define LEASE_VALID(i) (!gone[i])
+#ifdef LEAVING_NODE_SERVES
+#define LEASE_VALID(i) (!gone[i] || leaving[i])
+#else
+#define LEASE_VALID(i) (!gone[i] && !leaving[i])
+#endif
 #endif
 
 #define CONCERNS(e, i) (owner[e] == i || pred[PRED(e, i)] > 0)
@@ -176,7 +182,7 @@
 	:: d_step { up[i] && MAY_LEARN(i, 3) -> view[i] = 3; serving[i] = false }
 	:: d_step { up[i] && MAY_LEARN(i, 4) -> view[i] = 4; serving[i] = false }
 	/* Serves, and reports it. */
-	:: d_step { up[i] && view[i] > 0 && owner[view[i]] == i && !serving[i] && !gone[i] && PREDECESSORS_DONE(i) ->
+	:: d_step { up[i] && view[i] > 0 && owner[view[i]] == i && !serving[i] && LEASE_VALID(i) && PREDECESSORS_DONE(i) ->
 		assert(!CONFLICT(i, 0) && !CONFLICT(i, 1) && !CONFLICT(i, 2) && !CONFLICT(i, 3));
 		serving[i] = true;
 		served = (view[i] == epoch -> true : served) }
@@ -195,8 +201,11 @@
 	:: d_step { request[i] == Cleared && !LEASE_VALID(i) -> request[i] = Idle; fence[i] = 0 }
 	/* The request ends. */
 	:: d_step { RUNS(i) -> request[i] = Idle }
-	/* The node is evicted or leaves. */
+	/* The node is evicted. */
 	:: d_step { up[i] && !gone[i] && NAMED(i) -> gone[i] = true }
+	/* The node leaves: with nothing in flight it gives its lease up, and only
+	   then writes so. The write takes effect later or never. */
+	:: d_step { !leaving[0] && !leaving[1] && !leaving[2] && !leaving[3] && up[i] && !gone[i] && NAMED(i) && !serving[i] && !IN_FLIGHT(i) -> leaving[i] = true }
 	od
 }
 
