Give the demo's shards more keys, each below the rate of a pin

Cause: with one key of 10 requests/s a shard, placement pinned keys and the shard counts said nothing of the load: 15 of 32 shards on one node.

--- a/test/demo/demo.go
+++ b/test/demo/demo.go
@@ -15,12 +15,16 @@
 
 // Sizes of the demo.
 const (
-	nodes   = 5
-	shards  = 32
-	slots   = 20
-	work    = 5 * time.Millisecond
-	service = "painel"
-	shop    = "padaria-sul"
+	nodes  = 5
+	shards = 32
+	// keysPerShard and loadInterval keep every key below the rate at which it
+	// is pinned apart from its shard.
+	keysPerShard = 3
+	loadInterval = 300 * time.Millisecond
+	slots        = 20
+	work         = 5 * time.Millisecond
+	service      = "painel"
+	shop         = "padaria-sul"
 )
 
 // Bounds that the demo checks.
@@ -64,7 +68,7 @@
 	}
 	return &demo{
 		ctx: ctx, dir: dir, bin: harness.Prebuilt(bin), client: harness.NewClient(),
-		keys: harness.ShardKeys(shards, 1), owners: map[string]string{},
+		keys: harness.ShardKeys(shards, keysPerShard), owners: map[string]string{},
 	}, nil
 }
 
--- a/test/demo/serve.go
+++ b/test/demo/serve.go
@@ -116,7 +116,7 @@
 // avoided, a fifth of them not idempotent.
 func (d *demo) startLoad(seed uint64) *harness.Load {
 	return harness.StartLoad(harness.LoadOptions{
-		Seed: seed, Name: fmt.Sprintf("load%d-", seed), Keys: d.keys, Interval: 100 * time.Millisecond, Customer: shop,
+		Seed: seed, Name: fmt.Sprintf("load%d-", seed), Keys: d.keys, Interval: loadInterval, Customer: shop,
 		PathPrefix: harness.PathPrefix, WriteShare: 0.2, Work: work, MaxSize: 4000,
 		Timeout: callTimeout, Entries: d.fleet.Entries,
 	})
