--- a/test/demo/kill.go
+++ b/test/demo/kill.go
@@ -134,8 +134,7 @@
 	if served < 0 {
 		return fmt.Errorf("the time line of key %s has no new owner after the eviction", d.lostKey)
 	}
-	for _, e := range []timeline.Event{line.Events[evicted], line.Events[evicted+served]} {
-		fmt.Printf("   %s %s: %s\n", e.Stamp.Time().UTC().Format("15:04:05.000"), e.Node, e.Text)
-	}
-	return nil
+	text, err := d.cli.must("timeline", "--service", service, "--key", d.lostKey)
+	fmt.Printf("   time line of key %s:\n%s", d.lostKey, indent(text, -1))
+	return err
 }
