Count requests by result code and their durations

Cause: alarms on refusals and latency had no figures. The library's histogram was ruled out: it takes a lock that all requests would share; buckets are atomics, shown in the usual form.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -36,6 +36,8 @@
 	closing bool
 	load    *load
 
+	// code is the result that the request ended with, once it is known.
+	code    result.Code
 	started bool
 	length  int64
 	written int64
@@ -72,6 +74,7 @@
 
 // stamp sets the headers that every answer carries.
 func (a *answer) stamp(c result.Code) {
+	a.code = c
 	h := a.w.Header()
 	h.Set(header.Code, strconv.Itoa(int(c)))
 	h.Set(header.Result, result.Lookup(c).Kind.String())
--- /dev/null
+++ b/internal/caller/metrics.go
@@ -0,0 +1,82 @@
+package caller
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"fulmarhinge/internal/result"
+)
+
+// The metrics of requests. They are counted with atomics: a histogram of the
+// metrics library takes a lock, which all requests would share.
+var (
+	requestsByCode = countersByCode()
+	requestSeconds = newDurations("fulmarhinge_request_seconds",
+		time.Millisecond, 2*time.Millisecond, 5*time.Millisecond, 11*time.Millisecond,
+		25*time.Millisecond, 50*time.Millisecond, 100*time.Millisecond, 250*time.Millisecond,
+		500*time.Millisecond, time.Second, 3*time.Second, 10*time.Second)
+)
+
+// countersByCode makes a counter for each result code. The map is never
+// written again, so it needs no lock.
+func countersByCode() map[result.Code]*metrics.Counter {
+	m := make(map[result.Code]*metrics.Counter, len(result.Table))
+	for _, info := range result.Table {
+		name := fmt.Sprintf(`fulmarhinge_requests_total{code="%d",result=%q}`, info.Code, info.Kind)
+		m[info.Code] = metrics.NewCounter(name)
+	}
+	return m
+}
+
+// durations counts durations in buckets.
+type durations struct {
+	bounds []time.Duration
+	// counts has one entry a bound and one for all longer durations.
+	counts []atomic.Uint64
+	// sum is in nanoseconds.
+	sum atomic.Int64
+}
+
+// newDurations registers a histogram in the usual form: buckets that count
+// all durations up to their bound.
+func newDurations(name string, bounds ...time.Duration) *durations {
+	d := &durations{bounds: bounds, counts: make([]atomic.Uint64, len(bounds)+1)}
+	for i, b := range bounds {
+		le := fmt.Sprintf(`%s_bucket{le="%g"}`, name, b.Seconds())
+		metrics.NewGauge(le, func() float64 { return float64(d.upTo(i)) })
+	}
+	last := len(bounds)
+	metrics.NewGauge(name+`_bucket{le="+Inf"}`, func() float64 { return float64(d.upTo(last)) })
+	metrics.NewGauge(name+"_count", func() float64 { return float64(d.upTo(last)) })
+	metrics.NewGauge(name+"_sum", func() float64 { return time.Duration(d.sum.Load()).Seconds() })
+	return d
+}
+
+func (d *durations) add(v time.Duration) {
+	i := 0
+	for i < len(d.bounds) && v > d.bounds[i] {
+		i++
+	}
+	d.counts[i].Add(1)
+	d.sum.Add(int64(v))
+}
+
+// upTo returns how many durations are in the bucket or below.
+func (d *durations) upTo(bucket int) uint64 {
+	n := uint64(0)
+	for i := range bucket + 1 {
+		n += d.counts[i].Load()
+	}
+	return n
+}
+
+// count records the end of a request that began then.
+func (a *answer) count(began time.Time) {
+	if c := requestsByCode[a.code]; c != nil {
+		c.Inc()
+	}
+	requestSeconds.add(time.Since(began))
+}
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -21,6 +21,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	a := &answer{w: w, control: http.NewResponseController(w), method: r.Method}
+	defer a.count(time.Now())
 	v := s.src.Current()
 	if v == nil || v.Config == nil {
 		a.refuse(result.Errorf(result.NotAdmitting, "The node has no configuration yet."))
@@ -45,6 +46,7 @@
 		// The caller has part of an answer: only a broken connection tells it
 		// that the rest is missing.
 		s.log.Debug("answer cut", "request", q.id, "code", refusal.Code)
+		a.code = refusal.Code
 		panic(http.ErrAbortHandler)
 	}
 	a.refuse(refusal)
