Skip unchanged sets of members, and count bytes in the relay

Every published view called SetMembers, which visits all customers; an unchanged set now costs one comparison. The relay's counts measure control traffic from outside.

--- a/internal/limit/manager.go
+++ b/internal/limit/manager.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 
@@ -127,6 +128,9 @@
 	for _, name := range names {
 		next[name] = true
 	}
+	if m.recover.pending != nil && maps.Equal(next, m.members) {
+		return
+	}
 	before := m.candidates(now)
 	m.recover.setMembers(now, m.self.Name, m.members, next)
 	m.members = next
--- a/standin/relay/admin.go
+++ b/standin/relay/admin.go
@@ -42,12 +42,31 @@
 		n.change(func(cuts map[direction]bool) { clear(cuts) })
 		w.WriteHeader(http.StatusNoContent)
 	})
+	mux.HandleFunc("GET /admin/counts", n.serveCounts)
 	mux.HandleFunc("POST /admin/reset", adminCall(func(r adminRequest) {
 		n.resetAll(direction{r.From, r.To})
 	}))
 	return mux
 }
 
+// directionCount is the number of bytes passed on in one direction.
+type directionCount struct {
+	direction
+	Bytes uint64 `json:"bytes"`
+}
+
+// serveCounts answers a list of directionCount.
+func (n *network) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	counts := []directionCount{}
+	n.mu.Lock()
+	for d, bytes := range n.bytes {
+		counts = append(counts, directionCount{d, bytes})
+	}
+	n.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(counts)
+}
+
 // adminCall decodes the request, checks it and carries it out.
 func adminCall(fn func(adminRequest)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/standin/relay/network.go
+++ b/standin/relay/network.go
@@ -23,6 +23,8 @@
 	// healed is closed, and replaced, when cuts change.
 	healed chan struct{}
 	conns  map[*pair]bool
+	// bytes counts what was passed on in each direction.
+	bytes map[direction]uint64
 }
 
 // pair is one relayed connection.
@@ -40,6 +42,7 @@
 		cuts:   make(map[direction]bool),
 		healed: make(chan struct{}),
 		conns:  make(map[*pair]bool),
+		bytes:  make(map[direction]uint64),
 	}
 }
 
@@ -150,6 +153,7 @@
 				p.reset()
 				return
 			}
+			n.count(d, count)
 		}
 		if readErr == nil {
 			continue
@@ -163,6 +167,13 @@
 	}
 }
 
+// count adds to the bytes passed on.
+func (n *network) count(d direction, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bytes[d] += uint64(bytes)
+}
+
 func (n *network) add(p *pair) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/test/fault/harness/faults.go
+++ b/test/fault/harness/faults.go
@@ -100,6 +100,30 @@
 	return f.relayCall("reset", cutRequest{From: from, To: to})
 }
 
+// PassedBytes is what the relay has passed on in one direction.
+type PassedBytes struct {
+	From  string `json:"from"`
+	To    string `json:"to"`
+	Bytes uint64 `json:"bytes"`
+}
+
+// PeerBytes returns how many bytes nodes have sent each other so far.
+func (f *Fleet) PeerBytes() (uint64, error) {
+	var counts []PassedBytes
+	resp, err := sling.New().Get("http://" + f.relayAdmin + "/admin/counts").ReceiveSuccess(&counts)
+	if err != nil {
+		return 0, err
+	}
+	total := uint64(0)
+	platformIP := hostOf(f.platformAddr)
+	for _, c := range counts {
+		if c.From != platformIP && c.To != platformIP {
+			total += c.Bytes
+		}
+	}
+	return total, checkStatus(resp)
+}
+
 func (f *Fleet) relayCall(call string, body cutRequest) error {
 	return post("http://"+f.relayAdmin+"/admin/"+call, body)
 }
