Measure fleets of processes: faults, the path, control

One program, fixed seeds, JSON and tables. Not run whole yet. Free addresses are no longer handed out twice: with 50 nodes two listeners met on one port of the relay's IP.

--- a/standin/pattern/pattern.go
+++ b/standin/pattern/pattern.go
@@ -85,7 +85,7 @@
 // the answer to the request clientID for length bytes.
 func Check(body io.Reader, clientID string, length int64) (Head, error) {
 	var h Head
-	br := bufio.NewReaderSize(body, 64<<10)
+	br := bufio.NewReader(body)
 	line, err := br.ReadBytes('\n')
 	if err != nil {
 		return h, fmt.Errorf("the answer ends in its first line: %w", err)
@@ -99,12 +99,13 @@
 	if h.Length != length {
 		return h, fmt.Errorf("the answer has length %d instead of %d", h.Length, length)
 	}
-	return h, compare(br, NewReader(clientID, length))
+	return h, compare(br, NewReader(clientID, length), length)
 }
 
 // compare reads both streams to their ends.
-func compare(got io.Reader, want io.Reader) error {
-	const chunk = 32 << 10
+func compare(got io.Reader, want io.Reader, length int64) error {
+	const most = 32 << 10
+	chunk := min(length+1, most)
 	a, b := make([]byte, chunk), make([]byte, chunk)
 	for offset := 0; ; {
 		n, err := io.ReadFull(want, b)
--- /dev/null
+++ b/test/bench/fleet/main.go
@@ -0,0 +1,136 @@
+// Command fleet measures fleets of real processes: unavailable time per key
+// under faults, the cost of the path of a request, and the cost of control at
+// several sizes. Seeds are fixed; it prints tables and writes JSON.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"log"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"fulmarhinge/internal/config"
+	"fulmarhinge/internal/contract"
+	"fulmarhinge/test/fault/harness"
+)
+
+// customer is the name of the only customer.
+const customer = "shop"
+
+// options are the command line flags.
+type options struct {
+	parts  []string
+	out    string
+	rounds int
+	sizes  []int
+}
+
+func parseOptions() (options, error) {
+	parts := flag.String("parts", "faults,path,control", "what to measure")
+	sizes := flag.String("sizes", "10,50,100", "numbers of nodes for control")
+	var o options
+	flag.StringVar(&o.out, "out", "bench-out", "directory for the results")
+	flag.IntVar(&o.rounds, "rounds", 3, "repetitions of each fault, with seeds from 1")
+	flag.Parse()
+	o.parts = strings.Split(*parts, ",")
+	for _, s := range strings.Split(*sizes, ",") {
+		n, err := strconv.Atoi(s)
+		if err != nil {
+			return o, err
+		}
+		o.sizes = append(o.sizes, n)
+	}
+	return o, nil
+}
+
+func main() {
+	o, err := parseOptions()
+	if err != nil {
+		log.Fatal(err)
+	}
+	if err := run(o); err != nil {
+		log.Fatal(err)
+	}
+}
+
+// run measures the chosen parts.
+func run(o options) error {
+	binaries, err := harness.Build()
+	if err != nil {
+		return err
+	}
+	defer binaries.Close()
+	if err := os.MkdirAll(o.out, 0o755); err != nil {
+		return err
+	}
+	parts := []struct {
+		name    string
+		measure func(*harness.Binaries, options) (any, error)
+	}{
+		{"faults", measureFaults},
+		{"path", measurePath},
+		{"control", measureControl},
+	}
+	for _, p := range parts {
+		if !slices.Contains(o.parts, p.name) {
+			continue
+		}
+		result, err := p.measure(binaries, o)
+		if err != nil {
+			return fmt.Errorf("%s: %w", p.name, err)
+		}
+		if err := writeJSON(filepath.Join(o.out, p.name+".json"), result); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeJSON(path string, v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, b, 0o644)
+}
+
+// fleetOptions are common to all parts.
+func fleetOptions(binaries *harness.Binaries, dir string) harness.Options {
+	return harness.Options{
+		Dir:      dir,
+		Binaries: binaries,
+		Zones:    []string{"zone-a", "zone-b", "zone-c"},
+		Nodes:    6,
+		Service:  config.Service{Name: "painel", DividedByKey: true, Shards: 48, ChecksFence: true},
+		Contracts: []contract.Contract{{Customer: customer, Total: contract.Terms{
+			Rate: 200_000, Burst: 50_000, MaxWaiting: 20_000, MaxTime: contract.Duration(2 * time.Second),
+		}}},
+		Slots: 40,
+	}
+}
+
+// withFleet starts a fleet, waits until it is balanced, and stops it after fn.
+func withFleet(o harness.Options, fn func(*harness.Fleet) error) error {
+	const startTimeout = 60 * time.Second
+	dir, err := os.MkdirTemp("", "fulmarhinge-bench-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	o.Dir = dir
+	fleet, err := harness.Start(o)
+	defer fleet.Stop()
+	if err != nil {
+		return err
+	}
+	if err := fleet.WaitBalanced(startTimeout); err != nil {
+		return err
+	}
+	return fn(fleet)
+}
--- /dev/null
+++ b/test/bench/fleet/path.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"fulmarhinge/test/fault/harness"
+)
+
+// Sizes of the measurement of the path.
+const (
+	pathRounds   = 5
+	pathDuration = 2 * time.Second
+	pathWarmUp   = 500 * time.Millisecond
+	// connections is how many callers send requests one after the other.
+	connections = 16
+)
+
+// pathResult compares the ways to reach one backend server.
+type pathResult struct {
+	Way string `json:"way"`
+	// P50 and P99 are medians over the rounds of each round's quantile.
+	P50 time.Duration `json:"p50_ns"`
+	P99 time.Duration `json:"p99_ns"`
+	// Rate is the median of completed requests a second.
+	Rate float64 `json:"requests_per_second"`
+	// The ratios are those of one round to the direct way of the same round;
+	// their median is given.
+	P50Ratio  float64 `json:"p50_ratio"`
+	P99Ratio  float64 `json:"p99_ratio"`
+	RateRatio float64 `json:"rate_ratio"`
+	Failed    int     `json:"failed"`
+}
+
+// sample is one round of one way.
+type sample struct {
+	p50, p99 time.Duration
+	rate     float64
+	failed   int
+}
+
+// measurePath compares going straight to the backend server with the local hop
+// and the two-node hop.
+func measurePath(binaries *harness.Binaries, _ options) (any, error) {
+	o := fleetOptions(binaries, "")
+	o.Nodes = 3
+	o.Slots = 2 * connections
+	keys := harness.ShardKeys(o.Service.Shards, 1)
+	var results []pathResult
+	err := withFleet(o, func(fleet *harness.Fleet) error {
+		const startTimeout = 30 * time.Second
+		if err := fleet.WaitServed(keys, customer, startTimeout); err != nil {
+			return err
+		}
+		evidence, err := fleet.Evidence(nil)
+		if err != nil {
+			return err
+		}
+		owner, other := fleet.Nodes[0], fleet.Nodes[1]
+		owned := fleet.KeysOf(evidence, keys, owner, time.Now())
+		if len(owned) == 0 {
+			return fmt.Errorf("%s owns no key", owner.Name)
+		}
+		ways := []way{
+			{"direct", owner.BackendAddr},
+			{"local hop", owner.CallerAddr},
+			{"two-node hop", other.CallerAddr},
+		}
+		results = compare(ways, owned)
+		return nil
+	})
+	return results, err
+}
+
+// way is one address to send requests to.
+type way struct{ name, address string }
+
+// compare takes the ways in turn, so that a change of the machine's speed hits
+// all of them.
+func compare(ways []way, keys []string) []pathResult {
+	samples := make([][]sample, len(ways))
+	for range pathRounds {
+		for i, w := range ways {
+			drive(w.address, keys, pathWarmUp)
+			samples[i] = append(samples[i], drive(w.address, keys, pathDuration))
+		}
+	}
+	var results []pathResult
+	fmt.Printf("\n%-14s %9s %9s %10s %10s %10s %10s %s\n", "way", "p50", "p99", "req/s", "p50 ratio", "p99 ratio", "rate ratio", "failed")
+	for i, w := range ways {
+		r := summarize(w.name, samples[i], samples[0])
+		results = append(results, r)
+		fmt.Printf("%-14s %9v %9v %10.0f %10.2f %10.2f %10.2f %d\n", r.Way, r.P50.Round(time.Microsecond),
+			r.P99.Round(time.Microsecond), r.Rate, r.P50Ratio, r.P99Ratio, r.RateRatio, r.Failed)
+	}
+	return results
+}
+
+func summarize(name string, samples, direct []sample) pathResult {
+	r := pathResult{Way: name}
+	var p50s, p99s, rates, p50Ratios, p99Ratios, rateRatios []float64
+	for i, s := range samples {
+		p50s = append(p50s, float64(s.p50))
+		p99s = append(p99s, float64(s.p99))
+		rates = append(rates, s.rate)
+		p50Ratios = append(p50Ratios, float64(s.p50)/float64(direct[i].p50))
+		p99Ratios = append(p99Ratios, float64(s.p99)/float64(direct[i].p99))
+		rateRatios = append(rateRatios, s.rate/direct[i].rate)
+		r.Failed += s.failed
+	}
+	r.P50 = time.Duration(median(p50s))
+	r.P99 = time.Duration(median(p99s))
+	r.Rate = median(rates)
+	r.P50Ratio = median(p50Ratios)
+	r.P99Ratio = median(p99Ratios)
+	r.RateRatio = median(rateRatios)
+	return r
+}
+
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return math.NaN()
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+// drive sends requests over a set number of connections for a while.
+func drive(address string, keys []string, d time.Duration) sample {
+	client := harness.NewClient()
+	defer client.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), d+5*time.Second)
+	defer cancel()
+	var mu sync.Mutex
+	var latencies []time.Duration
+	failed := 0
+	begun := time.Now()
+	var callers sync.WaitGroup
+	for i := range connections {
+		callers.Go(func() {
+			var own []time.Duration
+			bad := 0
+			for n := 0; time.Since(begun) < d; n++ {
+				id := fmt.Sprintf("%d-%d", i, n)
+				key := keys[(i+n)%len(keys)]
+				a := harness.Send(ctx, client, address, harness.Call{
+					ID: id, Attempt: id, Customer: customer, Path: harness.PathPrefix + key, Key: key,
+				})
+				if a.Class != harness.Answered {
+					bad++
+					continue
+				}
+				own = append(own, a.Latency())
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			latencies = append(latencies, own...)
+			failed += bad
+		})
+	}
+	callers.Wait()
+	took := time.Since(begun)
+	s := harness.Summarize(latencies)
+	return sample{p50: s.Median, p99: s.P99, rate: float64(len(latencies)) / took.Seconds(), failed: failed}
+}
--- a/test/fault/harness/fleet.go
+++ b/test/fault/harness/fleet.go
@@ -99,7 +99,7 @@
 	ip := f.pool.vmIP()
 	var err error
 	take := func(ip string) string {
-		address, takeErr := freeAddress(ip)
+		address, takeErr := f.pool.freeAddress(ip)
 		if takeErr != nil {
 			err = takeErr
 		}
