--- a/internal/limit/holder.go
+++ b/internal/limit/holder.go
@@ -31,6 +31,7 @@
 
 // lease is the holder's record of what one node may hold.
 type lease struct {
+	ref  cluster.MemberRef
 	seq  uint64
 	want float64
 	// share is the most that the node can hold by what the holder knows.
@@ -47,8 +48,10 @@
 type Holder struct {
 	terms contract.Terms
 	// pool has the tokens that belong to no share.
-	pool   bucket
-	leases map[cluster.MemberRef]*lease
+	pool bucket
+	// leases are in the order of the nodes' names, so that equal inputs give
+	// equal sums and orders.
+	leases []*lease
 	// recovering is until when unknown shares of an earlier holder may hold.
 	recovering clock.Mono
 }
@@ -57,7 +60,7 @@
 // its holder: an earlier one may have used the burst right before. Recovering
 // is until when shares that an earlier holder leased may hold.
 func NewHolder(terms contract.Terms, now, acquired, recovering clock.Mono) *Holder {
-	h := &Holder{terms: terms, leases: make(map[cluster.MemberRef]*lease), recovering: recovering}
+	h := &Holder{terms: terms, recovering: recovering}
 	h.pool.last = now
 	h.pool.burst = float64(terms.Burst)
 	if now >= recovering {
@@ -104,10 +107,13 @@
 
 // Report notes a share that a node holds from an earlier holder.
 func (h *Holder) Report(now clock.Mono, from cluster.MemberRef, held Share) {
-	if _, ok := h.leases[from]; ok {
+	if _, known := h.find(from); known {
 		return
 	}
-	h.leases[from] = &lease{share: held, want: held.Rate, until: now.Add(shareTTL + shareGuard)}
+	l := h.add(from)
+	l.share = held
+	l.want = held.Rate
+	l.until = now.Add(shareLife)
 	h.settle(now)
 }
 
@@ -118,15 +124,28 @@
 	return len(h.leases) == 0 && now >= h.recovering && h.pool.tokens >= float64(h.terms.Burst)
 }
 
+// find returns the place of a node's lease, and whether there is one.
+func (h *Holder) find(ref cluster.MemberRef) (int, bool) {
+	return slices.BinarySearchFunc(h.leases, ref, func(l *lease, r cluster.MemberRef) int {
+		return cmp.Or(strings.Compare(l.ref.Name, r.Name), cmp.Compare(l.ref.Incarnation, r.Incarnation))
+	})
+}
+
+// add returns the lease of a node, a new one if need be.
+func (h *Holder) add(ref cluster.MemberRef) *lease {
+	i, known := h.find(ref)
+	if !known {
+		h.leases = slices.Insert(h.leases, i, &lease{ref: ref})
+	}
+	return h.leases[i]
+}
+
 // Ask answers a node and may recall shares of others. An ask that is not newer
 // than the last one of that node gets no answer.
 func (h *Holder) Ask(now clock.Mono, from cluster.MemberRef, a Ask) []Order {
 	h.settle(now)
-	l := h.leases[from]
-	if l == nil {
-		l = &lease{}
-		h.leases[from] = l
-	} else if a.Seq <= l.seq {
+	l := h.add(from)
+	if a.Seq <= l.seq {
 		return nil
 	}
 	l.seq = a.Seq
@@ -135,7 +154,7 @@
 	// The node accepts no grant of an earlier ask any more, so what it says it
 	// holds is all that it can hold.
 	l.share = a.Held
-	l.until = now.Add(shareTTL + shareGuard)
+	l.until = now.Add(shareLife)
 	target := h.target(l)
 	granted := h.grant(now, l, target)
 	h.settle(now)
@@ -143,7 +162,7 @@
 	h.pool.tokens -= tokens
 	l.share = most(a.Held, granted)
 	if l.share == (Share{}) && a.Want == 0 {
-		delete(h.leases, from)
+		l.until = now
 	}
 	h.settle(now)
 	orders := []Order{{To: from, Grant: Grant{Seq: a.Seq, Share: granted, Tokens: tokens, TTL: shareTTL}}}
@@ -221,7 +240,6 @@
 
 // excess is a lease that is above its target.
 type excess struct {
-	ref    cluster.MemberRef
 	lease  *lease
 	target float64
 }
@@ -244,7 +262,7 @@
 		share := e.lease.share
 		part := e.target / share.Rate
 		lower := Share{e.target, share.Burst * part, int(float64(share.Waiting) * part)}
-		orders = append(orders, Order{To: e.ref, Grant: Grant{Seq: e.lease.seq, Share: lower, Recall: true}})
+		orders = append(orders, Order{To: e.lease.ref, Grant: Grant{Seq: e.lease.seq, Share: lower, Recall: true}})
 	}
 	return orders
 }
@@ -256,27 +274,25 @@
 		wanted += l.want
 	}
 	var es []excess
-	for ref, l := range h.leases {
-		e := excess{ref, l, h.targetOf(l, wanted)}
+	for _, l := range h.leases {
+		e := excess{l, h.targetOf(l, wanted)}
 		if l != except && e.rate() > 0 {
 			es = append(es, e)
 		}
 	}
-	slices.SortFunc(es, func(a, b excess) int {
-		return cmp.Or(cmp.Compare(b.rate(), a.rate()), strings.Compare(a.ref.Name, b.ref.Name))
-	})
+	slices.SortStableFunc(es, func(a, b excess) int { return cmp.Compare(b.rate(), a.rate()) })
 	return es
 }
 
 // nudges has the nodes that lack most ask again, because rate came free.
 func (h *Holder) nudges(now clock.Mono) []Order {
 	var orders []Order
-	for ref, l := range h.leases {
+	for _, l := range h.leases {
 		if !l.unmet || now < l.recalled.Add(recallInterval) {
 			continue
 		}
 		l.recalled = now
-		orders = append(orders, Order{To: ref, Grant: Grant{Seq: l.seq, Share: l.share, Recall: true}})
+		orders = append(orders, Order{To: l.ref, Grant: Grant{Seq: l.seq, Share: l.share, Recall: true}})
 	}
 	return orders
 }
@@ -284,11 +300,7 @@
 // settle drops lapsed leases and fills the pool with what belongs to no share.
 func (h *Holder) settle(now clock.Mono) {
 	h.pool.fill(now, false)
-	for ref, l := range h.leases {
-		if now >= l.until {
-			delete(h.leases, ref)
-		}
-	}
+	h.leases = slices.DeleteFunc(h.leases, func(l *lease) bool { return now >= l.until })
 	rest := h.free(nil)
 	h.pool.rate = max(0, rest.Rate)
 	h.pool.burst = max(0, rest.Burst)
--- a/internal/limit/recovery.go
+++ b/internal/limit/recovery.go
@@ -1,6 +1,8 @@
 package limit
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"fulmarhinge/internal/clock"
@@ -98,7 +100,7 @@
 	r.seq++
 	r.asked = now
 	var outs []Out
-	for name := range r.pending {
+	for _, name := range slices.Sorted(maps.Keys(r.pending)) {
 		q := &wire.ShareQuery{Seq: r.seq}
 		outs = append(outs, Out{To: name, Message: &wire.Control{Body: &wire.Control_ShareQuery{ShareQuery: q}}})
 	}
