--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,8 @@
 demo: build
 	go build -o bin/ ./test/demo
 	bin/demo -bin bin
+
+# Writes tables to standard output and JSON to bench-out/.
+bench:
+	go run ./test/bench/limits
+	go run ./test/bench/fleet
--- a/test/bench/fleet/faults.go
+++ b/test/bench/fleet/faults.go
@@ -87,6 +87,9 @@
 	Fault string `json:"fault"`
 	// Unavailable is the longest gap of each affected key, all rounds together.
 	Unavailable harness.Summary `json:"unavailable"`
+	// Writes is the same for requests that are not idempotent alone. They come
+	// less often, so it counts more of the load's interval in.
+	Writes      harness.Summary `json:"unavailable_writes"`
 	WithinBound bool            `json:"within_bound"`
 	Attempts    int             `json:"attempts"`
 	// Outcomes counts attempts by class and code.
@@ -98,36 +101,38 @@
 // measureFaults runs every fault several times.
 func measureFaults(binaries *harness.Binaries, o options) (any, error) {
 	var results []faultResult
-	fmt.Printf("%-26s %5s %9s %9s %9s %8s %6s %6s %s\n", "fault", "keys", "median", "p99", "max", "requests", "cut", "unkn.", "violations")
+	fmt.Printf("%-26s %5s %9s %9s %9s %10s %8s %6s %6s %s\n", "fault", "keys", "median", "p99", "max", "writes max", "requests", "cut", "unkn.", "violations")
 	for _, f := range faults {
 		r := faultResult{Fault: f.name, Outcomes: make(map[string]int), Seeds: o.rounds}
-		var gaps []time.Duration
+		var gaps, writes []time.Duration
 		for seed := 1; seed <= o.rounds; seed++ {
-			g, err := strikeOnce(binaries, f, uint64(seed), &r)
+			all, w, err := strikeOnce(binaries, f, uint64(seed), &r)
 			if err != nil {
 				return results, fmt.Errorf("%s, seed %d: %w", f.name, seed, err)
 			}
-			gaps = append(gaps, g...)
+			gaps = append(gaps, all...)
+			writes = append(writes, w...)
 		}
 		r.Unavailable = harness.Summarize(gaps)
+		r.Writes = harness.Summarize(writes)
 		r.WithinBound = r.Unavailable.Max <= bound
 		results = append(results, r)
 		u := r.Unavailable
-		fmt.Printf("%-26s %5d %9v %9v %9v %8d %6d %6d %d\n", f.name, u.Count, u.Median.Round(time.Millisecond),
-			u.P99.Round(time.Millisecond), u.Max.Round(time.Millisecond), r.Attempts,
+		fmt.Printf("%-26s %5d %9v %9v %9v %10v %8d %6d %6d %d\n", f.name, u.Count, u.Median.Round(time.Millisecond),
+			u.P99.Round(time.Millisecond), u.Max.Round(time.Millisecond), r.Writes.Max.Round(time.Millisecond), r.Attempts,
 			r.Outcomes[string(harness.Cut)], r.Outcomes[string(harness.Unknown)], len(r.Violations))
 	}
 	return results, nil
 }
 
-// strikeOnce runs one round and returns the longest gap of each affected key.
-func strikeOnce(binaries *harness.Binaries, f fault, seed uint64, r *faultResult) ([]time.Duration, error) {
+// strikeOnce runs one round and returns the longest gap of each affected key,
+// for all requests and for those that are not idempotent.
+func strikeOnce(binaries *harness.Binaries, f fault, seed uint64, r *faultResult) (all, writes []time.Duration, err error) {
 	o := fleetOptions(binaries, "")
 	o.Service.ChecksFence = f.checksFence
 	o.Work = max(f.work, 2*time.Millisecond)
 	keys := harness.ShardKeys(o.Service.Shards, 1)
-	var gaps []time.Duration
-	err := withFleet(o, func(fleet *harness.Fleet) error {
+	err = withFleet(o, func(fleet *harness.Fleet) error {
 		const startTimeout = 30 * time.Second
 		if err := fleet.WaitServed(keys, customer, startTimeout); err != nil {
 			return err
@@ -153,11 +158,13 @@
 		if err != nil {
 			return err
 		}
-		gaps = harness.LongestGaps(harness.Unavailable(attempts, at, end), affected(fleet, evidence, keys, victims, at))
+		hit := affected(fleet, evidence, keys, victims, at)
+		all = harness.LongestGaps(harness.Unavailable(attempts, at, end), hit)
+		writes = harness.LongestGaps(harness.Unavailable(harness.Writes(attempts), at, end), hit)
 		r.add(attempts, harness.Judge(evidence))
 		return nil
 	})
-	return gaps, err
+	return all, writes, err
 }
 
 // affected returns the keys that the victims owned; nil, for all, if there are
--- a/test/fault/harness/unavailable.go
+++ b/test/fault/harness/unavailable.go
@@ -86,3 +86,14 @@
 	}
 	return ds
 }
+
+// Writes returns the attempts of requests that are not idempotent.
+func Writes(attempts []Attempt) []Attempt {
+	var writes []Attempt
+	for _, a := range attempts {
+		if a.IdempotencyKey != "" {
+			writes = append(writes, a)
+		}
+	}
+	return writes
+}
--- a/test/fault/main_test.go
+++ b/test/fault/main_test.go
@@ -198,6 +198,9 @@
 	sum := harness.Summarize(harness.LongestGaps(gaps, keys))
 	s.t.Logf("%s: %d keys, longest gap median %v, p99 %v, max %v", what, sum.Count,
 		sum.Median.Round(time.Millisecond), sum.P99.Round(time.Millisecond), sum.Max.Round(time.Millisecond))
+	writes := harness.Summarize(harness.LongestGaps(harness.Unavailable(harness.Writes(v.attempts), fault, v.end), keys))
+	s.t.Logf("%s: writes alone, longest gap median %v, max %v", what,
+		writes.Median.Round(time.Millisecond), writes.Max.Round(time.Millisecond))
 	if sum.Max > bound {
 		s.t.Errorf("%s: a key went %v without an answer, more than %v", what, sum.Max, bound)
 	}
