--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -29,7 +29,7 @@
 // MaxUnheard is how many renewals in a row a witness extends without seeing
 // that the holder hears its answers. It bounds how long a holder that can
 // send but not receive delays its own eviction.
-const MaxUnheard = 2
+const MaxUnheard = 1
 
 // keptRounds is how many rounds of sending times a holder remembers; answers
 // to older rounds are too late to matter.
@@ -156,6 +156,9 @@
 // RefusedBy reports whether the witness has voted against this holder.
 func (h *Holder) RefusedBy(w cluster.MemberRef) bool { return h.refused[w] }
 
+// Refusals returns how many witnesses have voted against this holder.
+func (h *Holder) Refusals() int { return len(h.refused) }
+
 // LastAck returns when the newest answered renewal to the witness was sent.
 func (h *Holder) LastAck(w cluster.MemberRef) clock.Mono { return h.acked[w] }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,13 +82,14 @@
 		Fleet: s.Fleet, Self: cluster.MemberRef{Name: s.Name},
 		Listen: s.Peer.Listen, DialFrom: s.Peer.DialFrom, Logger: log,
 	}, n.onControl, n.gate.ServeStream)
+	n.registerMetrics()
 	n.announce = backend.NewListener(s.Backend.Listen, log, n.onBackend)
 	n.loop = newLoop(n, control.New(params(s, strings.TrimSpace(string(boot)))))
 	n.entry = caller.New(caller.Config{Listen: s.Caller.Listen, Limits: caller.Limits{
 		MaxHeader: s.Limits.MaxHeaderBytes,
 		MaxBody:   s.Limits.MaxBodyBytes,
 		BodyPause: s.Limits.BodyIdleTimeout.D(),
-	}}, n.source, n.peers, n.gate, n.loop.admitter(), log)
+	}}, n.source, n.peers, n.gate, n.loop.limits, log)
 	return n, nil
 }
 
