Measure how soon changes of the configuration are in force

Cause: the time to in force everywhere and the platform's calls for a change were not measured over fleet sizes.

--- /dev/null
+++ b/test/bench/configuration/main.go
@@ -0,0 +1,83 @@
+// Command configuration measures accepted changes of the configuration on
+// fleets of real processes: the time until a change is in force on every node,
+// one by one and fifty at once, and the platform's calls for a change. It prints
+// a table and writes JSON.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"fulmarhinge/test/fault/harness"
+)
+
+// Row is what changes cost at one fleet size.
+type Row struct {
+	Nodes   int `json:"nodes"`
+	Changes int `json:"changes"`
+	// MedianMs and MaxMs are the times in milliseconds from the acceptance of a
+	// single change until it is in force on every node.
+	MedianMs float64 `json:"in_force_median_ms"`
+	MaxMs    float64 `json:"in_force_max_ms"`
+	// BurstMs is the time in milliseconds from the first edit of fifty by five
+	// operators until the last one is in force on every node.
+	BurstMs float64 `json:"fifty_at_once_ms"`
+	// EditReads and EditWrites are the platform's calls by the operator for a
+	// change, on a cache of the parts.
+	EditReads  float64 `json:"operator_reads_per_change"`
+	EditWrites float64 `json:"operator_writes_per_change"`
+	// SpreadReads are the platform's reads by all nodes for a change, above
+	// those of a fleet at rest.
+	SpreadReads float64 `json:"fleet_reads_per_change"`
+}
+
+func main() {
+	sizes := flag.String("sizes", "6,12,24", "fleet sizes, separated by commas")
+	changes := flag.Int("changes", 40, "number of single changes for each size")
+	out := flag.String("out", "", "file for the results as JSON; none if empty")
+	flag.Parse()
+	if err := run(*sizes, *changes, *out); err != nil {
+		fmt.Fprintln(os.Stderr, "configuration:", err)
+		os.Exit(1)
+	}
+}
+
+func run(sizes string, changes int, out string) error {
+	binaries, err := harness.Build()
+	if err != nil {
+		return err
+	}
+	defer binaries.Close()
+	var rows []Row
+	fmt.Printf("%6s %8s %10s %8s %14s %11s %12s %12s\n", "nodes", "changes", "median ms", "max ms",
+		"50 at once ms", "edit reads", "edit writes", "fleet reads")
+	for _, field := range strings.Split(sizes, ",") {
+		n, err := strconv.Atoi(field)
+		if err != nil {
+			return fmt.Errorf("--sizes: expected numbers separated by commas, got %q", field)
+		}
+		r, err := measure(binaries, n, changes)
+		if err != nil {
+			return fmt.Errorf("%d nodes: %w", n, err)
+		}
+		fmt.Printf("%6d %8d %10.0f %8.0f %14.0f %11.1f %12.1f %12.1f\n", r.Nodes, r.Changes, r.MedianMs, r.MaxMs,
+			r.BurstMs, r.EditReads, r.EditWrites, r.SpreadReads)
+		rows = append(rows, r)
+	}
+	if out == "" {
+		return nil
+	}
+	b, err := json.MarshalIndent(rows, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(filepath.Dir(out), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(out, append(b, '\n'), 0o644)
+}
