--- a/test/bench/configuration/main.go
+++ b/test/bench/configuration/main.go
@@ -5,14 +5,11 @@
 package main
 
 import (
-	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
-	"strconv"
-	"strings"
 
+	"fulmarhinge/test/bench/report"
 	"fulmarhinge/test/fault/harness"
 )
 
@@ -48,6 +45,10 @@
 }
 
 func run(sizes string, changes int, out string) error {
+	counts, err := report.Sizes(sizes)
+	if err != nil {
+		return err
+	}
 	binaries, err := harness.Build()
 	if err != nil {
 		return err
@@ -56,11 +57,7 @@
 	var rows []Row
 	fmt.Printf("%6s %8s %10s %8s %14s %11s %12s %12s\n", "nodes", "changes", "median ms", "max ms",
 		"50 at once ms", "edit reads", "edit writes", "fleet reads")
-	for _, field := range strings.Split(sizes, ",") {
-		n, err := strconv.Atoi(field)
-		if err != nil {
-			return fmt.Errorf("--sizes: expected numbers separated by commas, got %q", field)
-		}
+	for _, n := range counts {
 		r, err := measure(binaries, n, changes)
 		if err != nil {
 			return fmt.Errorf("%d nodes: %w", n, err)
@@ -69,15 +66,5 @@
 			r.BurstMs, r.EditReads, r.EditWrites, r.SpreadReads)
 		rows = append(rows, r)
 	}
-	if out == "" {
-		return nil
-	}
-	b, err := json.MarshalIndent(rows, "", "  ")
-	if err != nil {
-		return err
-	}
-	if err := os.MkdirAll(filepath.Dir(out), 0o755); err != nil {
-		return err
-	}
-	return os.WriteFile(out, append(b, '\n'), 0o644)
+	return report.WriteJSON(out, rows)
 }
--- a/test/bench/cost/main.go
+++ b/test/bench/cost/main.go
@@ -4,17 +4,14 @@
 package main
 
 import (
-	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
-	"strconv"
-	"strings"
 	"time"
 
 	"fulmarhinge/internal/config"
 	"fulmarhinge/internal/contract"
+	"fulmarhinge/test/bench/report"
 	"fulmarhinge/test/fault/harness"
 )
 
@@ -56,6 +53,10 @@
 }
 
 func run(sizes string, length time.Duration, out string) error {
+	counts, err := report.Sizes(sizes)
+	if err != nil {
+		return err
+	}
 	binaries, err := harness.Build()
 	if err != nil {
 		return err
@@ -64,11 +65,7 @@
 	var rows []Row
 	fmt.Printf("%6s %8s %8s %8s %9s %8s %8s %8s %8s %8s\n", "nodes", "cpu %", "max %", "MB",
 		"bytes/s", "msgs/s", "reads/s", "writes/s", "watches", "joinwr")
-	for _, field := range strings.Split(sizes, ",") {
-		n, err := strconv.Atoi(field)
-		if err != nil {
-			return fmt.Errorf("--sizes: expected numbers separated by commas, got %q", field)
-		}
+	for _, n := range counts {
 		row, err := measure(binaries, n, length)
 		if err != nil {
 			return fmt.Errorf("%d nodes: %w", n, err)
@@ -77,17 +74,7 @@
 			row.MemoryMB, row.BytesPerSecond, row.MessagesPerSec, row.PlatformReads, row.PlatformWrites, row.PlatformWatches, row.JoinWrites)
 		rows = append(rows, row)
 	}
-	if out == "" {
-		return nil
-	}
-	b, err := json.MarshalIndent(rows, "", "  ")
-	if err != nil {
-		return err
-	}
-	if err := os.MkdirAll(filepath.Dir(out), 0o755); err != nil {
-		return err
-	}
-	return os.WriteFile(out, append(b, '\n'), 0o644)
+	return report.WriteJSON(out, rows)
 }
 
 func measure(binaries *harness.Binaries, n int, length time.Duration) (Row, error) {
--- a/test/bench/limits/main.go
+++ b/test/bench/limits/main.go
@@ -3,14 +3,12 @@
 package main
 
 import (
-	"encoding/json"
 	"flag"
 	"fmt"
 	"log"
-	"os"
-	"path/filepath"
 	"time"
 
+	"fulmarhinge/test/bench/report"
 	"fulmarhinge/test/limitsim"
 )
 
@@ -31,19 +29,7 @@
 			}
 		}
 	}
-	if err := write(*out, results); err != nil {
+	if err := report.WriteJSON(*out, results); err != nil {
 		log.Fatal(err)
 	}
 }
-
-// write stores the results as JSON.
-func write(path string, results []limitsim.Result) error {
-	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-		return err
-	}
-	b, err := json.MarshalIndent(results, "", "  ")
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(path, b, 0o644)
-}
