--- a/internal/timeline/merge.go
+++ b/internal/timeline/merge.go
@@ -47,9 +47,8 @@
 	if f.byUnit() {
 		for _, e := range events {
 			if e.Unit != nil && f.matchUnit(*e.Unit) {
-				// A unit's events are recorded by the node that owns or owned
-				// it; the member is an earlier or a later owner.
-				owners[e.Node] = true
+				// An event without a member is about the node that recorded
+				// it; with one, the recorder may be a mere controller.
 				owners[subject(e)] = true
 			}
 		}
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -130,7 +130,8 @@
 	stranger := cluster.MemberRef{Name: "b", Incarnation: 1}
 	successor := cluster.MemberRef{Name: "c", Incarnation: 1}
 	events := []Event{
-		{Text: "mine", Kind: KindPlacement, Unit: &unit, Member: &owner, Node: successor},
+		{Text: "mine", Kind: KindPlacement, Unit: &unit, Member: &owner, Node: stranger},
+		{Text: "served", Kind: KindPlacement, Unit: &unit, Node: successor},
 		{Text: "pin", Kind: KindMove, Unit: &cluster.Unit{Service: "painel", Shard: unit.Shard, Key: key}},
 		{Text: "other", Kind: KindPlacement, Unit: &other, Member: &stranger},
 		{Text: "owner-evicted", Kind: KindEviction, Member: &owner, Node: stranger},
@@ -143,8 +144,8 @@
 		filter Filter
 		want   string
 	}{
-		{"none", Filter{}, "mine pin other owner-evicted stranger-evicted successor-lease limit"},
-		{"key", Filter{Key: key, ShardCounts: map[string]int{"painel": shards}}, "mine pin owner-evicted successor-lease"},
+		{"none", Filter{}, "mine served pin other owner-evicted stranger-evicted successor-lease limit"},
+		{"key", Filter{Key: key, ShardCounts: map[string]int{"painel": shards}}, "mine served pin owner-evicted successor-lease"},
 		{"key without counts", Filter{Key: key}, "pin"},
 		{"shard", Filter{Service: "painel", Shard: &other.Shard}, "other stranger-evicted"},
 		{"VM as recorder or subject", Filter{VM: "a"}, "mine owner-evicted limit"},
