Limit repeated log lines in one place

Cause: peer had a limiter of its own, without a count of what it left out. The logger of the process does the same for all parts; one line of it an address.

--- a/internal/logging/limit.go
+++ b/internal/logging/limit.go
@@ -14,7 +14,7 @@
 
 // subjectArgs are the arguments that keep lines with one text apart: two peers
 // that fail at once are two events.
-var subjectArgs = map[string]bool{"member": true, "peer": true, "service": true, "url": true}
+var subjectArgs = map[string]bool{"member": true, "peer": true, "service": true, "url": true, "to": true}
 
 // limited is a logger that drops lines which repeat too often. Loggers made
 // from it share its memory.
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -46,7 +46,7 @@
 	b, err := appendSized(nil, m, MaxControl)
 	if err != nil {
 		t.messagesDropped.Add(1)
-		t.log.warn("control message not sent", "to", addr, "error", err)
+		t.log.Warn("control message not sent", "to", addr, "error", err)
 		return
 	}
 	s := t.sender(addr)
@@ -97,7 +97,7 @@
 		if err == nil {
 			continue
 		}
-		s.t.log.warn("control session ended", "to", s.addr, "error", err)
+		s.t.log.Warn("control session ended", "to", s.addr, "error", err)
 		s.pause(backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
@@ -210,11 +210,11 @@
 
 func (t *Transport) controlEnded(from cluster.MemberRef, err error) {
 	if ErrMalformed.Has(err) {
-		t.log.warn("control session closed", "from", from, "error", err)
+		t.log.Warn("control session closed", "from", from, "error", err)
 		return
 	}
 	if !errors.Is(err, io.EOF) && t.ctx.Err() == nil {
-		t.log.debug("control session ended", "from", from, "error", err)
+		t.log.Debug("control session ended", "from", from, "error", err)
 	}
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -81,7 +81,7 @@
 	ref       atomic.Pointer[cluster.MemberRef]
 	onControl func(from cluster.MemberRef, m *wire.Control)
 	onStream  func(ctx context.Context, from cluster.MemberRef, conn net.Conn)
-	log       *limitedLog
+	log       hclog.Logger
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -107,7 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Transport{
 		cfg: cfg, onControl: onControl, onStream: onStream,
-		log: newLimitedLog(cfg.Logger.Named("peer")), ctx: ctx, cancel: cancel,
+		log: cfg.Logger.Named("peer"), ctx: ctx, cancel: cancel,
 	}
 	t.SetSelf(cfg.Self)
 	return t
@@ -148,7 +148,7 @@
 			return err
 		}
 		if err != nil {
-			t.log.warn("accept failed", "error", err)
+			t.log.Warn("accept failed", "error", err)
 			time.Sleep(acceptPause)
 			continue
 		}
@@ -181,7 +181,7 @@
 	from, kind, err := t.welcome(conn)
 	if err != nil {
 		if !errors.Is(err, io.EOF) {
-			t.log.warn("session refused", "from", conn.RemoteAddr(), "error", err)
+			t.log.Warn("session refused", "from", conn.RemoteAddr(), "error", err)
 		}
 		return
 	}
@@ -206,7 +206,7 @@
 	if err != nil {
 		_ = conn.Close()
 		if errRefused.Has(err) {
-			t.log.warn("session refused by peer", "to", addr, "error", err)
+			t.log.Warn("session refused by peer", "to", addr, "error", err)
 		}
 		return nil, cluster.MemberRef{}, ErrUnreachable.Wrap(err)
 	}
