--- a/internal/operator/docs_test.go
+++ b/internal/operator/docs_test.go
@@ -62,7 +62,7 @@
 	tests := []struct {
 		name, section, inCode, inPage string
 	}{
-		{"metrics", "Metrics", "[\"`](fulmarhinge_[a-z_]+)", "(?m)^\\| `(fulmarhinge_[a-z_]+)"},
+		{"metrics", "Metrics", "[\"`](fulmarhinge_[a-z_]+)", "[|,] `(fulmarhinge_[a-z_]+)"},
 		{"log prefixes", "Logs", `Named\("([a-z]+)"\)`, "(?m)^\\| `([a-z]+)`"},
 	}
 	for _, tc := range tests {
