Pass on with a unit which idempotency keys ran

Cause: every request that must not run twice and whose key was made up to 0.5 s after an ownership began got outcome unknown: after a first assignment, a planned move, and when a hot key became a pin on the same node. The planned stop test had 398 such answers in 8 s.

Ruled out: a shorter clock bound (clocks of callers are not ours); asking the old owner when in doubt (it exits a second later).

Change: a release names the keys of the last 5 s; the new owner runs an older key only if every earlier owner said that it had not let it through. The first owner of a shard has nobody before it. A pin cut without a change of owner continues its shard. Records are found under any epoch of the same process.

--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -270,6 +270,7 @@
 	}
 	r.unit = u
 	r.epoch = owned.Epoch
+	r.history = owned.History
 	return view.Serving, nil
 }
 
--- /dev/null
+++ b/internal/backend/history.go
@@ -0,0 +1,125 @@
+package backend
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/wire"
+)
+
+// historySpan is how far back a release names the keys that were let through.
+// Older keys count as seen, so a repetition must reach the next owner within
+// this time to be told from one that ran.
+const historySpan = 5 * time.Second
+
+// keyPast tells whether a key that this process does not remember may have run
+// at an earlier owner, or here so long ago that it was forgotten.
+type keyPast struct {
+	// forgotten and since are times up to which keys may have run.
+	forgotten time.Time
+	since     time.Time
+	bound     time.Duration
+	history   []*wire.History
+}
+
+// past returns what is known of keys that are not in the table.
+func (g *Gate) past(r *run, now time.Time) keyPast {
+	p := keyPast{
+		forgotten: now.Add(-g.table.limits.Age),
+		since:     now,
+		bound:     g.table.limits.ClockBound,
+		history:   r.history,
+	}
+	if since, ok := g.src.ServingSince(r.unit, r.epoch); ok {
+		p.since = since
+	}
+	return p
+}
+
+// mayHaveRun reports whether an earlier run is not excluded. A key made after
+// this ownership began is new; one made before is new only if every earlier
+// owner said that it had not let it through.
+func (p keyPast) mayHaveRun(id idempotencyID) bool {
+	made := keyTime(id.key)
+	if !made.After(p.forgotten.Add(p.bound)) {
+		return true
+	}
+	if made.After(p.since.Add(p.bound)) {
+		return false
+	}
+	hash := id.hash()
+	for _, h := range p.history {
+		floor := time.UnixMilli(h.GetFloorMs())
+		if _, seen := slices.BinarySearch(h.GetSeen(), hash); seen || !made.After(floor.Add(p.bound)) {
+			return true
+		}
+	}
+	return len(p.history) == 0
+}
+
+// hash names the use of a key to the next owner.
+func (id idempotencyID) hash() uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(id.customer)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(id.key[:])
+	return d.Sum64()
+}
+
+// shardOf returns the shard that a unit belongs to.
+func shardOf(u cluster.Unit) cluster.Unit {
+	return cluster.Unit{Service: u.Service, Shard: u.Shard}
+}
+
+// History returns what the next owner of a unit needs to know of idempotency
+// keys. It is called once nothing of the unit is in flight and nothing new is
+// let in. For a pin that leaves its shard it covers the whole shard, through
+// which the key was served.
+func (g *Gate) History(u cluster.Unit, epoch uint64) *wire.History {
+	now := time.Now()
+	floor := now.Add(-historySpan)
+	since, ok := g.src.ServingSince(u, epoch)
+	if !ok {
+		since, ok = g.src.ServingSince(shardOf(u), epoch)
+	}
+	if !ok {
+		since = now
+	}
+	if since.After(floor) {
+		floor = since
+	}
+	h := &wire.History{FloorMs: floor.UnixMilli() + 1}
+	h.Seen = g.table.seenSince(shardOf(u), floor.Add(-g.table.limits.ClockBound))
+	return h
+}
+
+// seenSince returns the sorted hashes of the keys of a shard that were let
+// through after a time.
+func (t *idempotencyTable) seenSince(shard cluster.Unit, after time.Time) []uint64 {
+	var out []uint64
+	for i := range t.stripes {
+		out = t.stripes[i].seenSince(out, shard, after.Add(t.limits.Age))
+	}
+	slices.Sort(out)
+	return out
+}
+
+// seenSince appends the hashes of records that expire after a time. The newest
+// records are last, so the walk ends at the first that is too old.
+func (s *tableStripe) seenSince(out []uint64, shard cluster.Unit, expiry time.Time) []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for e := s.order.Back(); e != nil; e = e.Prev() {
+		r := e.Value.(*record)
+		if r.expires.Before(expiry) {
+			break
+		}
+		if r.id.unit == shard {
+			out = append(out, r.id.hash())
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/backend/history_test.go
@@ -0,0 +1,72 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/wire"
+)
+
+// uuidAt returns a parsed idempotency key that was made at a time.
+func uuidAt(at time.Time) uuid.UUID { return uuid.MustParse(keyAt(at, 1)) }
+
+func TestKeyPast(t *testing.T) {
+	const bound = 500 * time.Millisecond
+	now := time.Now().Truncate(time.Millisecond)
+	id := func(age time.Duration) idempotencyID {
+		return idempotencyID{customer: "c", key: uuidAt(now.Add(-age))}
+	}
+	asked := id(2 * time.Second)
+	saw := &wire.History{FloorMs: now.Add(-5 * time.Second).UnixMilli(), Seen: []uint64{asked.hash()}}
+	sawNot := &wire.History{FloorMs: now.Add(-5 * time.Second).UnixMilli()}
+	brief := &wire.History{FloorMs: now.Add(-2200 * time.Millisecond).UnixMilli()}
+
+	cases := []struct {
+		name    string
+		id      idempotencyID
+		since   time.Duration
+		history []*wire.History
+		want    bool
+	}{
+		{"made after the ownership began", asked, 3 * time.Second, nil, false},
+		{"made within the clock bound of its beginning", asked, 2200 * time.Millisecond, nil, true},
+		{"made before, and nothing was passed on", asked, time.Second, nil, true},
+		{"made before, and the earlier owner let it through", asked, time.Second, []*wire.History{saw}, true},
+		{"made before, and the earlier owner did not", asked, time.Second, []*wire.History{sawNot}, false},
+		{"one of two earlier owners let it through", asked, time.Second, []*wire.History{sawNot, saw}, true},
+		{"made within the bound of an earlier owner's floor", asked, time.Second, []*wire.History{sawNot, brief}, true},
+		{"older than what an earlier owner names", id(6 * time.Second), time.Second, []*wire.History{sawNot}, true},
+		{"older than the table remembers", id(11 * time.Minute), time.Hour, []*wire.History{sawNot}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := keyPast{forgotten: now.Add(-10 * time.Minute), since: now.Add(-c.since), bound: bound, history: c.history}
+			if got := p.mayHaveRun(c.id); got != c.want {
+				t.Fatalf("may have run: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+func TestSeenSinceNamesTheShardsKeys(t *testing.T) {
+	table := newIdempotencyTable(IdempotencyLimits{})
+	shard := cluster.Unit{Service: "s", Shard: 3}
+	now := time.Now()
+	use := func(u cluster.Unit, at time.Time) idempotencyID {
+		id := idempotencyID{unit: u, customer: "c", key: uuidAt(at)}
+		if _, first, refusal := table.begin(id, 1, at, keyPast{since: at.Add(-time.Hour)}); refusal != nil || !first {
+			t.Fatalf("key not taken: %v", refusal)
+		}
+		return id
+	}
+	use(shard, now.Add(-time.Minute))
+	recent := use(shard, now.Add(-time.Second))
+	use(cluster.Unit{Service: "s", Shard: 4}, now)
+	got := table.seenSince(shard, now.Add(-historySpan))
+	if len(got) != 1 || got[0] != recent.hash() {
+		t.Fatalf("got %d keys, want the one recent key of the shard", len(got))
+	}
+}
--- a/internal/backend/idempotency.go
+++ b/internal/backend/idempotency.go
@@ -58,11 +58,11 @@
 	return l
 }
 
-// idempotencyID names one use of a key. The epoch is part of it: what an
-// ownership has seen says nothing of a later one.
+// idempotencyID names one use of a key. The unit is always the shard, so that a
+// record is found whether the key is reached through its shard or a pin, and
+// under any later epoch: what ran here ran.
 type idempotencyID struct {
 	unit     cluster.Unit
-	epoch    uint64
 	customer string
 	key      uuid.UUID
 }
@@ -124,9 +124,9 @@
 }
 
 // begin returns the record of id. The second result is true if it is new: the
-// caller then runs the request and ends with finish. keyFloor is the time up to
-// which a key that is not remembered may have been seen by an earlier owner.
-func (t *idempotencyTable) begin(id idempotencyID, fingerprint uint64, now, keyFloor time.Time) (*record, bool, *result.Error) {
+// caller then runs the request and ends with finish. A key that is not
+// remembered is refused if past says that it may have run before.
+func (t *idempotencyTable) begin(id idempotencyID, fingerprint uint64, now time.Time, past keyPast) (*record, bool, *result.Error) {
 	s := t.stripe(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -137,7 +137,7 @@
 		}
 		return r, false, nil
 	}
-	if !keyTime(id.key).After(keyFloor) {
+	if past.mayHaveRun(id) {
 		return nil, false, result.New(result.IdempotencyKeyTooOld)
 	}
 	if s.order.Len() >= s.limit || s.customers[id.customer] >= max(s.limit/keysPerCustomer, 1) {
--- a/internal/backend/once.go
+++ b/internal/backend/once.go
@@ -19,9 +19,9 @@
 	if refusal != nil {
 		return refusal
 	}
-	id := idempotencyID{unit: r.unit, epoch: r.epoch, customer: r.head.GetCustomer(), key: key}
+	id := idempotencyID{unit: shardOf(r.unit), customer: r.head.GetCustomer(), key: key}
 	for {
-		rec, first, refusal := g.table.begin(id, fingerprint(r.head), now, g.keyFloor(r, now))
+		rec, first, refusal := g.table.begin(id, fingerprint(r.head), now, g.past(r, now))
 		if refusal != nil {
 			return refusal
 		}
@@ -49,18 +49,6 @@
 	return result.New(result.CancelledAfter)
 }
 
-// keyFloor returns the time up to which a key that is not in the table may
-// have run: before this ownership began, or so long ago that it was forgotten.
-func (g *Gate) keyFloor(r *run, now time.Time) time.Time {
-	floor := now.Add(-g.table.limits.Age)
-	if since, ok := g.src.ServingSince(r.unit, r.epoch); !ok {
-		floor = now
-	} else if since.After(floor) {
-		floor = since
-	}
-	return floor.Add(g.table.limits.ClockBound)
-}
-
 // runFirst runs the request and records the outcome. A caller that leaves is
 // expected to ask again with its key, so the run is then not cancelled: it goes
 // on to its deadline and its answer is kept.
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -117,6 +117,9 @@
 type Pin struct {
 	Key   string `json:"key"`
 	Shard int    `json:"shard"`
+	// SplitEpoch is the shard's epoch when its owner kept the key as a pin. It
+	// is 0 if the pin has ever had another owner than the shard had then.
+	SplitEpoch uint64 `json:"split_epoch,omitempty"`
 	Assignment
 }
 
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -72,6 +72,8 @@
 	UnitIdle struct {
 		Unit  cluster.Unit
 		Epoch uint64
+		// History goes with the release; nil if the gate can't tell.
+		History *wire.History
 	}
 	// InFlight is the number of requests inside this node.
 	InFlight struct{ Total int }
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -59,7 +59,7 @@
 		}
 	}
 	for u, cur := range m.units.own {
-		v.Owned[u] = view.Owned{State: cur.state, Epoch: cur.epoch, PendingSince: cur.since}
+		v.Owned[u] = cur.owned()
 	}
 	m.refreshTables()
 	v.Tables = maps.Clone(m.tables)
--- a/internal/control/units.go
+++ b/internal/control/units.go
@@ -29,23 +29,33 @@
 	epoch        uint64
 	predecessors []cluster.Predecessor
 	since        clock.Mono
+	// continues and history are passed on to the gate; see view.Owned.
+	continues bool
+	history   []*wire.History
 }
 
 // release is a unit that this node has stopped serving for good.
 type release struct {
-	epoch uint64
-	next  clock.Mono
-	tries int
+	epoch   uint64
+	history *wire.History
+	next    clock.Mono
+	tries   int
 	// ackedFor is the epoch of the assignment whose owner acknowledged.
 	ackedFor uint64
 }
 
+// heardRelease is what an earlier owner has said of a unit.
+type heardRelease struct {
+	epoch   uint64
+	history *wire.History
+}
+
 // unitState holds the units that this node owns or has to release.
 type unitState struct {
 	own      map[cluster.Unit]*unit
 	released map[cluster.Unit]*release
-	// heard holds, for each owned unit, the epochs that others released.
-	heard map[cluster.Unit]map[cluster.MemberRef]uint64
+	// heard holds what others released of each unit that is pending here.
+	heard map[cluster.Unit]map[cluster.MemberRef]heardRelease
 	// rates are the loads of the last sample.
 	rates map[cluster.Unit]float64
 }
@@ -53,7 +63,7 @@
 func (u *unitState) init() {
 	u.own = map[cluster.Unit]*unit{}
 	u.released = map[cluster.Unit]*release{}
-	u.heard = map[cluster.Unit]map[cluster.MemberRef]uint64{}
+	u.heard = map[cluster.Unit]map[cluster.MemberRef]heardRelease{}
 	u.rates = map[cluster.Unit]float64{}
 }
 
@@ -91,11 +101,11 @@
 
 func (m *Machine) adoptGroup(g *cluster.Group) {
 	for i := range g.Shards {
-		m.adopt(cluster.Unit{Service: g.Service, Shard: g.First + i}, &g.Shards[i])
+		m.adopt(cluster.Unit{Service: g.Service, Shard: g.First + i}, &g.Shards[i], 0)
 	}
 	for i := range g.Pins {
 		p := &g.Pins[i]
-		m.adopt(cluster.Unit{Service: g.Service, Shard: p.Shard, Key: p.Key}, &p.Assignment)
+		m.adopt(cluster.Unit{Service: g.Service, Shard: p.Shard, Key: p.Key}, &p.Assignment, p.SplitEpoch)
 	}
 }
 
@@ -116,10 +126,11 @@
 	}
 }
 
-// adopt takes one assignment of a newer placement.
-func (m *Machine) adopt(u cluster.Unit, a *cluster.Assignment) {
+// adopt takes one assignment of a newer placement. split is the epoch of the
+// shard that a pin was cut from without a change of owner, else 0.
+func (m *Machine) adopt(u cluster.Unit, a *cluster.Assignment, split uint64) {
 	if a.Owner == m.self {
-		m.adoptOwned(u, a)
+		m.adoptOwned(u, a, split)
 		return
 	}
 	cur := m.units.own[u]
@@ -132,12 +143,13 @@
 	}
 }
 
-func (m *Machine) adoptOwned(u cluster.Unit, a *cluster.Assignment) {
+func (m *Machine) adoptOwned(u cluster.Unit, a *cluster.Assignment, split uint64) {
 	cur := m.units.own[u]
 	if cur != nil && cur.epoch >= a.Epoch {
 		return
 	}
 	next := &unit{state: view.Pending, epoch: a.Epoch, predecessors: a.Predecessors, since: m.now}
+	next.continues = m.continues(u, cur, a, split)
 	m.units.own[u] = next
 	delete(m.units.released, u)
 	m.dirty = true
@@ -146,6 +158,19 @@
 	}
 }
 
+// continues reports whether this process goes on serving the unit's keys, so
+// that nobody else can have served them in between.
+func (m *Machine) continues(u cluster.Unit, cur *unit, a *cluster.Assignment, split uint64) bool {
+	if len(a.Predecessors) > 0 {
+		return false
+	}
+	if cur != nil {
+		return u.Key == "" && cur.serving()
+	}
+	shard := m.units.own[cluster.Unit{Service: u.Service, Shard: u.Shard}]
+	return split != 0 && shard != nil && shard.serving() && shard.epoch == split
+}
+
 // stopUnit makes the gate refuse new requests. The release follows once the
 // gate reports that nothing is in flight.
 func (m *Machine) stopUnit(u cluster.Unit, cur *unit) {
@@ -193,7 +218,7 @@
 	}
 	delete(m.units.own, e.Unit)
 	delete(m.units.heard, e.Unit)
-	m.units.released[e.Unit] = &release{epoch: cur.epoch, next: m.now}
+	m.units.released[e.Unit] = &release{epoch: cur.epoch, history: e.History, next: m.now}
 	m.dirty = true
 	m.unitEvent(timeline.KindMove, e.Unit, cur.epoch, "unit released")
 	m.sendRelease(e.Unit, m.units.released[e.Unit])
@@ -241,6 +266,7 @@
 			return false
 		}
 	}
+	cur.history = m.inherit(u, cur.epoch, cur.predecessors)
 	cur.state = view.Serving
 	cur.predecessors = nil
 	delete(m.units.heard, u)
@@ -249,6 +275,31 @@
 	return true
 }
 
+// firstEpoch is the epoch of a shard's first assignment.
+const firstEpoch = 1
+
+// inherit gathers what the earlier owners said of idempotency keys. The first
+// owner of a shard has none before it, so no key can have run. It is
+// nothing if one of them ended without: then any earlier key may have run. What
+// this process let through itself is in its own table.
+func (m *Machine) inherit(u cluster.Unit, epoch uint64, before []cluster.Predecessor) []*wire.History {
+	if u.Key == "" && epoch == firstEpoch && len(before) == 0 {
+		return []*wire.History{{}}
+	}
+	var out []*wire.History
+	for _, p := range before {
+		if p.MemberRef == m.self {
+			continue
+		}
+		h := m.units.heard[u][p.MemberRef]
+		if h.history == nil || h.epoch < p.Epoch {
+			return nil
+		}
+		out = append(out, h.history)
+	}
+	return out
+}
+
 // satisfied reports whether an earlier owner can no longer serve the unit: it
 // is this process, it said so, or its incarnation is gone and nothing of it
 // can still run.
@@ -256,7 +307,7 @@
 	if p.MemberRef == m.self {
 		return true
 	}
-	if e, ok := m.units.heard[u][p.MemberRef]; ok && e >= p.Epoch {
+	if h, ok := m.units.heard[u][p.MemberRef]; ok && h.epoch >= p.Epoch {
 		return true
 	}
 	return m.endedFor(u.Service, p.MemberRef)
@@ -306,7 +357,7 @@
 	r.tries++
 	body := &wire.Control{Body: &wire.Control_Release{Release: &wire.Release{
 		Service: u.Service, Shard: uint32(u.Shard), Key: u.Key, Epoch: r.epoch,
-		FromName: m.self.Name, FromIncarnation: m.self.Incarnation,
+		FromName: m.self.Name, FromIncarnation: m.self.Incarnation, History: r.history,
 	}}}
 	m.sendTo(a.Owner.Name, body)
 	if r.tries > releaseDirect {
@@ -338,9 +389,11 @@
 	}
 	if cur.state == view.Pending {
 		if m.units.heard[u] == nil {
-			m.units.heard[u] = map[cluster.MemberRef]uint64{}
+			m.units.heard[u] = map[cluster.MemberRef]heardRelease{}
+		}
+		if r.GetEpoch() >= m.units.heard[u][from].epoch {
+			m.units.heard[u][from] = heardRelease{epoch: r.GetEpoch(), history: r.GetHistory()}
 		}
-		m.units.heard[u][from] = max(m.units.heard[u][from], r.GetEpoch())
 		m.serveIfFree(u, cur)
 	}
 	m.sendTo(from.Name, &wire.Control{Body: &wire.Control_ReleaseAck{ReleaseAck: &wire.ReleaseAck{
@@ -373,3 +426,14 @@
 
 // serving reports whether the gate may serve the unit.
 func (u *unit) serving() bool { return u.state == view.Serving }
+
+// owned returns what the gate is told of the unit.
+func (u *unit) owned() view.Owned {
+	return view.Owned{
+		State:        u.state,
+		Epoch:        u.epoch,
+		PendingSince: u.since,
+		Continues:    u.continues,
+		History:      u.history,
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -199,6 +199,7 @@
 	found := false
 	for _, u := range stopping {
 		if l.node.gate.InFlight(u.Unit) == 0 {
+			u.History = l.node.gate.History(u.Unit, u.Epoch)
 			l.machine.Step(clock.Now(), u)
 			found = true
 		}
--- a/internal/placement/apply.go
+++ b/internal/placement/apply.go
@@ -50,6 +50,7 @@
 	case m.Remove:
 		return a.removePin(at, shard, m)
 	default:
+		a.group.Pins[at].SplitEpoch = 0
 		return a.moveTo(&a.group.Pins[at].Assignment, m)
 	}
 }
@@ -75,6 +76,9 @@
 	if !a.moveTo(&pin.Assignment, m) {
 		return false
 	}
+	if m.To == shard.Owner {
+		pin.SplitEpoch = shard.Epoch
+	}
 	a.group.Pins = append(a.group.Pins, pin)
 	slices.SortFunc(a.group.Pins, func(x, y cluster.Pin) int {
 		if x.Key < y.Key {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -9,6 +9,7 @@
 	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/config"
+	"fulmarhinge/internal/wire"
 )
 
 // UnitState says what the node may do with a unit that placement gives it.
@@ -33,6 +34,12 @@
 	Epoch uint64
 	// PendingSince is when the unit became Pending here.
 	PendingSince clock.Mono
+	// Continues is true if this process served the unit right before under an
+	// earlier epoch or, for a pin, through its shard.
+	Continues bool
+	// History is what every earlier owner passed on with its release; empty if
+	// one of them ended without.
+	History []*wire.History
 }
 
 // Table is the placement of one service that is divided by key.
@@ -115,19 +122,40 @@
 		old = *p
 	}
 	for u, o := range v.Owned {
-		if o.State != Serving {
-			continue
-		}
-		starts[u] = servingStart{epoch: o.Epoch, at: now}
-		if before, ok := old[u]; ok && before.epoch == o.Epoch {
+		before, known := old[u]
+		switch {
+		case known && before.epoch == o.Epoch && o.State != Pending:
 			starts[u] = before
+		case o.State == Serving:
+			starts[u] = servingStart{epoch: o.Epoch, at: now}
+			if at, ok := continued(old, u); ok && o.Continues {
+				starts[u] = servingStart{epoch: o.Epoch, at: at}
+			}
 		}
 	}
 	s.serving.Store(&starts)
 }
 
+// continued returns since when this process has served all of a unit without a
+// break: the latest start among its shard and the pins of that shard, since
+// the unit's keys may have been served through any of them.
+func continued(old map[cluster.Unit]servingStart, u cluster.Unit) (time.Time, bool) {
+	shard := cluster.Unit{Service: u.Service, Shard: u.Shard}
+	start, ok := old[shard]
+	if !ok {
+		return time.Time{}, false
+	}
+	at := start.at
+	for o, s := range old {
+		if o.Service == u.Service && o.Shard == u.Shard && s.at.After(at) {
+			at = s.at
+		}
+	}
+	return at, true
+}
+
 // ServingSince returns the wall time at which this node began to serve the
-// unit under the epoch, or false if it does not serve it.
+// unit under the epoch, or false if it has not, or has released it.
 func (s *Source) ServingSince(u cluster.Unit, epoch uint64) (time.Time, bool) {
 	p := s.serving.Load()
 	if p == nil {
