Assume no load where enough is measured

The load that placement assumes for idle services was added at any rate. At today's sizes it let the measured imbalance end at 1.1502, above the bound of 1.15, and made the change of hot keys move 1.238 times the least load. It now falls evenly and is gone from 100 requests/s a node.

The tests hold the bound to 1e-9, before 1e-4.

Ruled out: an aim below 1.15, which moves load when nothing has to move.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -23,10 +23,15 @@
 	MinHotRate = 10.0
 )
 
-// priorRate is the load in requests/s a node that is assumed on top of the
-// measured load and spread evenly over the shards. It makes an idle service
-// balance by shard count, and is negligible once there is real load.
-const priorRate = 1.0
+const (
+	// priorRate is the load in requests/s a node that is assumed on top of the
+	// measured load and spread evenly over the shards. It makes an idle service
+	// balance by shard count.
+	priorRate = 1.0
+	// fullRate is the measured load in requests/s a node from which nothing is
+	// assumed; the assumed load falls evenly up to there.
+	fullRate = 100.0
+)
 
 // Reason says why a unit is moved.
 type Reason int
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -44,7 +44,7 @@
 }
 
 // settled returns a fleet whose shards are all placed. Each shard has the same
-// load, large enough to make the prior load negligible.
+// load.
 func settled(n, zones, shards int) Input {
 	in := Input{Service: testService, Shards: make([]cluster.Assignment, shards), Nodes: fleet(n, zones), MaxMoves: 1 << 20}
 	in.Load = map[cluster.Unit]float64{}
@@ -150,7 +150,7 @@
 				t.Errorf("moved %.3f of the shards, want at most %.3f", got, tt.maxMoved)
 			}
 			after := pinned(in, apply(in, moves, isGone(in.Nodes)))
-			if got := imbalance(after); got > MaxImbalance+1e-4 {
+			if got := imbalance(after); got > MaxImbalance+1e-9 {
 				t.Errorf("imbalance %.4f", got)
 			}
 			if again := Plan(after); len(again) != 0 {
--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -81,7 +81,7 @@
 			moved += in.Load[m.Unit] / 1e6
 		}
 		after := apply(in, moves, isGone(in.Nodes))
-		return imbalance(after) <= MaxImbalance+1e-4 && moved <= 1.5*float64(least) && len(Plan(after)) == 0
+		return imbalance(after) <= MaxImbalance+1e-9 && moved <= 1.5*float64(least) && len(Plan(after)) == 0
 	}, gen.Int64().WithShrinker(gopter.NoShrinker), gen.IntRange(3, 20)))
 }
 
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -95,9 +95,9 @@
 }
 
 // addShards creates the shards' states. The weight of a shard is its measured
-// load and its part of the prior load.
+// load and its part of the assumed load.
 func (s *state) addShards() {
-	prior := priorRate * float64(len(s.nodes)) / float64(max(1, len(s.in.Shards)))
+	prior := s.assumedLoad() / float64(max(1, len(s.in.Shards)))
 	s.shards = make([]*unitState, len(s.in.Shards))
 	for i, held := range s.in.Shards {
 		u := &unitState{unit: cluster.Unit{Service: s.in.Service, Shard: i}, held: held}
@@ -108,6 +108,20 @@
 	}
 }
 
+// assumedLoad returns the load in requests/s that is assumed for the service
+// because little is measured.
+func (s *state) assumedLoad() float64 {
+	measured := 0.0
+	for i := range s.in.Shards {
+		measured += s.load(cluster.Unit{Service: s.in.Service, Shard: i})
+	}
+	for _, p := range s.in.Pins {
+		measured += s.load(cluster.Unit{Service: s.in.Service, Shard: p.Shard, Key: p.Key})
+	}
+	nodes := float64(len(s.nodes))
+	return priorRate * nodes * max(0, 1-measured/(fullRate*nodes))
+}
+
 // addPins creates the pins' states. A cold pin's weight is added to its shard,
 // because it is to return there.
 func (s *state) addPins() {
