Keep the noise of small loads from moving shards

A load report of a few seconds counts few requests for each shard when the load is small, and their scatter alone exceeded the imbalance that starts a move. The assumed load is now 30 requests/s a node where nothing is measured, before 1; it still fades out at 100.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -26,8 +26,9 @@
 const (
 	// priorRate is the load in requests/s a node that is assumed on top of the
 	// measured load and spread evenly over the shards. It makes an idle service
-	// balance by shard count.
-	priorRate = 1.0
+	// balance by shard count, and keeps the noise of a small load, which a few
+	// requests make up, from moving shards to and fro.
+	priorRate = 30.0
 	// fullRate is the measured load in requests/s a node from which nothing is
 	// assumed; the assumed load falls evenly up to there.
 	fullRate = 100.0
--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"math/rand"
 	"slices"
 	"testing"
@@ -228,3 +229,31 @@
 		return true
 	}, gen.Int64().WithShrinker(gopter.NoShrinker)))
 }
+
+// TestNoiseMovesLittle plans again and again for a steady load of which each
+// report counts a few seconds only.
+func TestNoiseMovesLittle(t *testing.T) {
+	const (
+		window  = 5.0 // seconds of a report
+		rounds  = 60
+		maxMove = 0.01 // share of the load for each minute
+	)
+	for _, perNode := range []float64{5, 20, 50, 100, 500} {
+		rng := rand.New(rand.NewSource(propertySeed))
+		in := settled(7, 3, 112)
+		mean := perNode / 16
+		moves := 0
+		for range rounds {
+			for i := range in.Shards {
+				seen := mean*window + math.Sqrt(mean*window)*rng.NormFloat64()
+				in.Load[cluster.Unit{Service: testService, Shard: i}] = max(0, seen/window)
+			}
+			plan := Plan(in)
+			moves += len(plan)
+			in = apply(in, plan, isGone(in.Nodes))
+		}
+		if got := float64(moves) / 112 / (rounds * window / 60); got > maxMove {
+			t.Errorf("%v requests/s a node: %.4f of the load moves each minute", perNode, got)
+		}
+	}
+}
