Notice dead sessions without a steady keepalive on traffic sessions

Failing first: a control session that was cut in one direction was noticed only when the next message was written, and that message was lost. The sender now ends with its session and sends the unsent message again.

--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -38,6 +38,8 @@
 	addr  string
 	queue chan queued
 	bytes atomic.Int64
+	// broken counts sessions that ended by an error.
+	broken atomic.Int64
 }
 
 // Send queues a control message for a peer and returns at once. The message is
@@ -79,37 +81,46 @@
 }
 
 // run connects whenever there is something to send, until the transport ends.
+// A message whose write failed is sent again on the next session; receivers
+// bear repetitions.
 func (s *sender) run() {
 	backoff := minBackoff
-	for {
-		q, ok := s.next(0)
-		if !ok {
-			return
+	var q queued
+	for s.t.ctx.Err() == nil {
+		if time.Since(q.at) > staleAfter {
+			if q.bytes != nil {
+				s.t.messagesDropped.Add(1)
+			}
+			var ok bool
+			if q, ok = s.next(nil); !ok {
+				return
+			}
 		}
 		started := time.Now()
-		sent, err := s.session(q)
-		if s.t.ctx.Err() != nil {
-			return
-		}
-		if sent && time.Since(started) > maxBackoff {
+		unsent, err := s.session(q)
+		q = unsent
+		if time.Since(started) > maxBackoff {
 			backoff = minBackoff
 		}
-		if err == nil {
+		if err == nil || s.t.ctx.Err() != nil {
 			continue
 		}
+		s.broken.Add(1)
 		s.t.log.warn("control session ended", "to", s.addr, "error", err)
 		s.pause(backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-// next waits for a message that is not stale; idle of 0 waits without end.
-func (s *sender) next(idle time.Duration) (queued, bool) {
-	var timeout <-chan time.Time
-	if idle > 0 {
-		timer := time.NewTimer(idle)
+// next waits for a message that is not stale. It reports false if the session
+// has closed, was idle for long, or the transport ended; a nil channel means
+// that there is no session.
+func (s *sender) next(closed <-chan struct{}) (queued, bool) {
+	var idle <-chan time.Time
+	if closed != nil {
+		timer := time.NewTimer(idleTimeout)
 		defer timer.Stop()
-		timeout = timer.C
+		idle = timer.C
 	}
 	for {
 		select {
@@ -120,7 +131,9 @@
 			}
 			s.bytes.Add(-int64(len(q.bytes)))
 			return q, true
-		case <-timeout:
+		case <-closed:
+			return queued{}, false
+		case <-idle:
 			return queued{}, false
 		case <-s.t.ctx.Done():
 			return queued{}, false
@@ -138,12 +151,11 @@
 }
 
 // session sends first and then all that is queued, until the session breaks or
-// is idle. It reports whether anything was sent; an idle end is no error.
-func (s *sender) session(first queued) (bool, error) {
+// is idle. It returns the message that was not sent; an idle end is no error.
+func (s *sender) session(first queued) (queued, error) {
 	conn, _, err := s.t.dial(s.addr, controlSession)
 	if err != nil {
-		s.t.messagesDropped.Add(1)
-		return false, err
+		return first, err
 	}
 	defer conn.Close()
 	stop := context.AfterFunc(s.t.ctx, func() { _ = conn.Close() })
@@ -151,35 +163,36 @@
 	counted := &countedConn{Conn: conn, t: s.t}
 	mux, err := yamux.Client(counted, sessionConfig(controlKeepalive, controlWrite))
 	if err != nil {
-		return false, err
+		return first, err
 	}
 	defer mux.Close()
 	stream, err := mux.OpenStream()
 	if err != nil {
-		return false, err
+		return first, err
 	}
-	return true, s.drain(mux, stream, first)
+	return s.drain(mux, stream, first)
 }
 
-func (s *sender) drain(mux *yamux.Session, stream net.Conn, q queued) error {
-	ok := true
-	for ok {
+func (s *sender) drain(mux *yamux.Session, stream net.Conn, q queued) (queued, error) {
+	for {
 		// The write fails once the peer no longer takes what it is sent, so a
 		// cut session does not hold the queue up for longer than this.
 		if err := stream.SetWriteDeadline(time.Now().Add(controlWrite)); err != nil {
-			return err
+			return q, err
 		}
 		if _, err := stream.Write(q.bytes); err != nil {
-			s.t.messagesDropped.Add(1)
-			return err
+			return q, err
 		}
 		s.t.messagesSent.Add(1)
+		var ok bool
+		if q, ok = s.next(mux.CloseChan()); ok {
+			continue
+		}
 		if mux.IsClosed() {
-			return ErrUnreachable.New("session closed")
+			return queued{}, ErrUnreachable.New("the session broke")
 		}
-		q, ok = s.next(idleTimeout)
+		return queued{}, nil
 	}
-	return nil
 }
 
 // acceptControl reads control messages from a session that a peer opened.
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/yamux"
 
@@ -77,7 +79,7 @@
 // connect dials and publishes the session; it closes the session when the
 // transport ends.
 func (r *route) connect(t *Transport, addr string, done chan struct{}) {
-	mux, err := t.openTraffic(addr)
+	mux, heard, err := t.openTraffic(addr)
 	r.mu.Lock()
 	r.mux = mux
 	r.err = err
@@ -87,29 +89,75 @@
 	if mux == nil {
 		return
 	}
-	select {
-	case <-mux.CloseChan():
-	case <-t.ctx.Done():
-		_ = mux.Close()
+	watch(t.ctx, mux, heard)
+	_ = mux.Close()
+}
+
+// watch returns when the session should end: with the transport, after a long
+// time without requests, or when the peer is silent while it owes answers. A
+// session without requests costs nothing, however many peers there are.
+func watch(ctx context.Context, mux *yamux.Session, heard *heardConn) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	busy := time.Now()
+	for {
+		select {
+		case <-mux.CloseChan():
+			return
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		silent := !heard.any.Swap(false)
+		if mux.NumStreams() > 0 {
+			busy = time.Now()
+			if silent && ping(mux) != nil {
+				return
+			}
+		}
+		if time.Since(busy) > trafficIdle {
+			return
+		}
+	}
+}
+
+func ping(mux *yamux.Session) error {
+	_, err := mux.Ping()
+	return err
+}
+
+// heardConn notes whether anything was received.
+type heardConn struct {
+	net.Conn
+	any atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *heardConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.any.Load() {
+		c.any.Store(true)
 	}
+	return n, err
 }
 
-func (t *Transport) openTraffic(addr string) (*yamux.Session, error) {
+func (t *Transport) openTraffic(addr string) (*yamux.Session, *heardConn, error) {
 	conn, _, err := t.dial(addr, trafficSession)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	mux, err := yamux.Client(conn, sessionConfig(trafficKeepalive, trafficWrite))
+	heard := &heardConn{Conn: conn}
+	mux, err := yamux.Client(heard, sessionConfig(0, trafficWrite))
 	if err != nil {
 		_ = conn.Close()
-		return nil, err
+		return nil, nil, err
 	}
-	return mux, nil
+	return mux, heard, nil
 }
 
 // acceptTraffic hands each stream of a session that a peer opened to onStream.
 func (t *Transport) acceptTraffic(from cluster.MemberRef, conn net.Conn) {
-	mux, err := yamux.Server(conn, sessionConfig(trafficKeepalive, trafficWrite))
+	mux, err := yamux.Server(conn, sessionConfig(0, trafficWrite))
 	if err != nil {
 		return
 	}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -40,8 +40,15 @@
 	// the accepting side only has to free it some time.
 	acceptedKeepalive = 15 * time.Second
 	acceptedWrite     = 5 * time.Second
-	trafficKeepalive  = time.Second
-	trafficWrite      = 2 * time.Second
+	// trafficWrite bounds writes and pings on traffic sessions. They are
+	// watched only while they carry requests; see watch.
+	trafficWrite  = time.Second
+	watchInterval = 500 * time.Millisecond
+	// trafficIdle closes a traffic session without requests.
+	trafficIdle = 5 * time.Minute
+	// tcpKeepalive lets the kernel end accepted connections whose peer has
+	// vanished.
+	tcpKeepalive = time.Minute
 	// idleTimeout closes a control session that carries no message.
 	idleTimeout = 60 * time.Second
 	// streamBacklog is how many streams of a session may wait to be accepted.
@@ -120,7 +127,8 @@
 
 // Listen binds the listener; Serve accepts on it.
 func (t *Transport) Listen() error {
-	ln, err := net.Listen("tcp", t.cfg.Listen)
+	lc := net.ListenConfig{KeepAlive: tcpKeepalive}
+	ln, err := lc.Listen(t.ctx, "tcp", t.cfg.Listen)
 	if err != nil {
 		return err
 	}
@@ -213,11 +221,15 @@
 	return conn, to, nil
 }
 
-// sessionConfig returns the yamux settings of one side of a session.
+// sessionConfig returns the yamux settings of one side of a session; a
+// keepalive of 0 sends none.
 func sessionConfig(keepalive, write time.Duration) *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = streamBacklog
-	c.KeepAliveInterval = keepalive
+	c.EnableKeepAlive = keepalive > 0
+	if keepalive > 0 {
+		c.KeepAliveInterval = keepalive
+	}
 	c.ConnectionWriteTimeout = write
 	// The keepalive notices a peer that does not answer, without a goroutine
 	// and a timer for each stream.
