--- a/test/demo/stop.go
+++ b/test/demo/stop.go
@@ -149,9 +149,18 @@
 			return fmt.Errorf("slow request %s at %s: %s %d %s", a.ID, a.Entry, a.Class, a.Code, a.Detail)
 		}
 	}
-	for _, a := range load {
-		if a.Class == harness.Cut || a.Class == harness.Unknown || a.Class == harness.Wrong {
-			return fmt.Errorf("request %s at %s: %s %d %s", a.ID, a.Entry, a.Class, a.Code, a.Detail)
+	return firstOf(load, harness.Cut, harness.Wrong, harness.Unknown)
+}
+
+// firstOf returns the first attempt of the first class that has any, as an
+// error.
+func firstOf(attempts []harness.Attempt, classes ...harness.Class) error {
+	for _, class := range classes {
+		for _, a := range attempts {
+			if a.Class == class {
+				return fmt.Errorf("request %s (idempotency key %q) at %s, sent %s, ended %s: %s %d %s", a.ID, a.IdempotencyKey,
+					a.Entry, a.Sent.Format(time.StampMicro), a.Ended.Format(time.StampMicro), a.Class, a.Code, a.Detail)
+			}
 		}
 	}
 	return nil
