--- a/test/bench/fleet/main.go
+++ b/test/bench/fleet/main.go
@@ -32,7 +32,7 @@
 }
 
 func parseOptions() (options, error) {
-	parts := flag.String("parts", "faults,path,control", "what to measure")
+	parts := flag.String("parts", "faults,path,fairness,control", "what to measure")
 	sizes := flag.String("sizes", "10,50,100", "numbers of nodes for control")
 	var o options
 	flag.StringVar(&o.out, "out", "bench-out", "directory for the results")
@@ -75,6 +75,7 @@
 	}{
 		{"faults", measureFaults},
 		{"path", measurePath},
+		{"fairness", measureFairness},
 		{"control", measureControl},
 	}
 	for _, p := range parts {
--- a/test/fault/harness/load.go
+++ b/test/fault/harness/load.go
@@ -33,6 +33,8 @@
 	MaxSize int64
 	// Timeout is how long the caller waits for one attempt.
 	Timeout time.Duration
+	// MaxAttempts bounds how often one request is sent; 0 means 4.
+	MaxAttempts int
 	// Entries returns the caller addresses that the load may use now.
 	Entries func() []string
 }
@@ -136,9 +138,13 @@
 // idempotent under the same idempotency key if its outcome is unknown.
 func (l *Load) request(c Call, seed uint64) {
 	const (
-		maxAttempts = 4
-		pause       = 50 * time.Millisecond
+		defaultAttempts = 4
+		pause           = 50 * time.Millisecond
 	)
+	maxAttempts := l.opts.MaxAttempts
+	if maxAttempts == 0 {
+		maxAttempts = defaultAttempts
+	}
 	rng := rand.New(rand.NewPCG(seed, 0))
 	for n := range maxAttempts {
 		c.Attempt = fmt.Sprintf("%s.%d", c.ID, n)
