Ask only the last owner that served, and linger in a planned stop

Cause: (1) a planned move got unknown outcomes again if an owner further back had left meanwhile, as every listed owner's word was needed; (2) the stopping node reset a kept connection on which a POST had just been sent; (3) the judge counted a request that a frozen VM gave up after it thawed as running all the while.

Change: the last owner that served covers those before it, and one that never served says so. A planned stop lasts at least 2.5 s, in which every answer asks its caller to close. The stand-in that checks fences does so when work ends after a freeze; the judge lets a run that was given up end with its lease, for fence-checking servers only.

Ruled out: leaving first and lingering after (the tables go stale).

--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -55,8 +55,8 @@
 	unit     cluster.Unit
 	epoch    uint64
 
-	// history is what earlier owners passed on of idempotency keys.
-	history []*wire.History
+	// history is what the last owner passed on of idempotency keys.
+	history *wire.History
 
 	stage atomic.Int32
 	// conn is the connection that the request was dispatched on.
--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -10,6 +10,11 @@
 // when no other node can.
 const aloneWait = 2 * time.Second
 
+// drainLinger is the least length of a planned stop. Meanwhile each answer asks
+// its caller to close the connection, so that few are open at the end on which
+// a request may be on its way.
+const drainLinger = 2500 * time.Millisecond
+
 // beginDrain starts a planned stop.
 func (m *Machine) beginDrain() {
 	if m.own.drain {
@@ -45,7 +50,8 @@
 		m.event(timeline.Event{Kind: timeline.KindDrain, Member: &ref, Text: "planned stop ends without the platform's record"})
 		return
 	}
-	if m.own.left || m.own.inFlight > 0 || len(m.units.own) > 0 || !m.recordedDraining() || m.owesReleases() {
+	lingers := m.own.drainAt.Add(drainLinger) > m.now
+	if lingers || m.own.left || m.own.inFlight > 0 || len(m.units.own) > 0 || !m.recordedDraining() || m.owesReleases() {
 		return
 	}
 	m.own.left = true
--- a/internal/control/units.go
+++ b/internal/control/units.go
@@ -31,7 +31,11 @@
 	since        clock.Mono
 	// continues and history are passed on to the gate; see view.Owned.
 	continues bool
-	history   []*wire.History
+	history   *wire.History
+	// served is true once the gate was let serve the unit, under this epoch or
+	// an earlier one; owed is true if only a release is due for it.
+	served bool
+	owed   bool
 }
 
 // release is a unit that this node has stopped serving for good.
@@ -150,6 +154,7 @@
 	}
 	next := &unit{state: view.Pending, epoch: a.Epoch, predecessors: a.Predecessors, since: m.now}
 	next.continues = m.continues(u, cur, a, split)
+	next.served = cur != nil && cur.served
 	m.units.own[u] = next
 	delete(m.units.released, u)
 	m.dirty = true
@@ -195,7 +200,7 @@
 		r.next = min(r.next, m.now)
 		return
 	}
-	m.units.own[u] = &unit{state: view.Stopping, epoch: epoch, since: m.now}
+	m.units.own[u] = &unit{state: view.Stopping, epoch: epoch, since: m.now, owed: true}
 	m.dirty = true
 }
 
@@ -218,7 +223,12 @@
 	}
 	delete(m.units.own, e.Unit)
 	delete(m.units.heard, e.Unit)
-	m.units.released[e.Unit] = &release{epoch: cur.epoch, history: e.History, next: m.now}
+	history := e.History
+	viaShard := cur.owed && e.Unit.Key != ""
+	if !cur.served && !viaShard {
+		history = &wire.History{NeverServed: true}
+	}
+	m.units.released[e.Unit] = &release{epoch: cur.epoch, history: history, next: m.now}
 	m.dirty = true
 	m.unitEvent(timeline.KindMove, e.Unit, cur.epoch, "unit released")
 	m.sendRelease(e.Unit, m.units.released[e.Unit])
@@ -268,6 +278,7 @@
 	}
 	cur.history = m.inherit(u, cur.epoch, cur.predecessors)
 	cur.state = view.Serving
+	cur.served = true
 	cur.predecessors = nil
 	delete(m.units.heard, u)
 	m.dirty = true
@@ -278,26 +289,26 @@
 // firstEpoch is the epoch of a shard's first assignment.
 const firstEpoch = 1
 
-// inherit gathers what the earlier owners said of idempotency keys. The first
-// owner of a shard has none before it, so no key can have run. It is
-// nothing if one of them ended without: then any earlier key may have run. What
-// this process let through itself is in its own table.
-func (m *Machine) inherit(u cluster.Unit, epoch uint64, before []cluster.Predecessor) []*wire.History {
+// inherit returns what the last owner that served the unit said of idempotency
+// keys; its floor covers the owners before it. It is nil if that owner ended
+// without, as any earlier key may then have run. The first owner of a shard has
+// nobody before it.
+func (m *Machine) inherit(u cluster.Unit, epoch uint64, before []cluster.Predecessor) *wire.History {
 	if u.Key == "" && epoch == firstEpoch && len(before) == 0 {
-		return []*wire.History{{}}
+		return &wire.History{}
 	}
-	var out []*wire.History
-	for _, p := range before {
-		if p.MemberRef == m.self {
-			continue
-		}
+	latest := slices.Clone(before)
+	slices.SortFunc(latest, func(a, b cluster.Predecessor) int { return cmp.Compare(b.Epoch, a.Epoch) })
+	for _, p := range latest {
 		h := m.units.heard[u][p.MemberRef]
 		if h.history == nil || h.epoch < p.Epoch {
 			return nil
 		}
-		out = append(out, h.history)
+		if !h.history.GetNeverServed() {
+			return h.history
+		}
 	}
-	return out
+	return nil
 }
 
 // satisfied reports whether an earlier owner can no longer serve the unit: it
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -37,9 +37,9 @@
 	// Continues is true if this process served the unit right before under an
 	// earlier epoch or, for a pin, through its shard.
 	Continues bool
-	// History is what every earlier owner passed on with its release; empty if
-	// one of them ended without.
-	History []*wire.History
+	// History is what the last owner that served the unit passed on with its
+	// release; nil if it ended without.
+	History *wire.History
 }
 
 // Table is the placement of one service that is divided by key.
--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -136,13 +136,18 @@
 	rec.Run = s.nextRun.Add(1)
 	s.append(rec)
 	rec.Event = runlog.End
-	rec.Outcome = s.work(ctx, s.workTime(r))
+	rec.Outcome = s.work(ctx, g, s.workTime(r))
 	if rec.Outcome == runlog.Deadline {
 		rec.At = time.Now().UnixNano()
 		s.append(rec)
 		http.Error(w, "deadline passed", http.StatusGatewayTimeout)
 		return
 	}
+	if rec.Outcome == runlog.Stale {
+		rec.At = time.Now().UnixNano()
+		s.append(rec)
+		panic(http.ErrAbortHandler)
+	}
 	if rec.Outcome == runlog.Done {
 		rec.Outcome = s.answer(w, r, g, digest, &rec)
 	}
@@ -152,9 +157,15 @@
 	s.append(rec)
 }
 
+// frozenAfter is how much longer than asked a run takes before the server
+// concludes that it was frozen meanwhile.
+const frozenAfter = 500 * time.Millisecond
+
 // work takes the time and says how it ended. A frozen server notices nothing
-// until it thaws.
-func (s *server) work(ctx context.Context, d time.Duration) runlog.Outcome {
+// until it thaws; one that checks fences then lets a run have no effect whose
+// lease has ended.
+func (s *server) work(ctx context.Context, g grant, d time.Duration) runlog.Outcome {
+	began := clock.Now()
 	if d > 0 {
 		t := time.NewTimer(d)
 		defer t.Stop()
@@ -164,6 +175,10 @@
 		}
 	}
 	s.switches.waitThaw()
+	now := clock.Now()
+	if s.opts.checksFence && g.unit != "" && now.Sub(began) > d+frozenAfter && now >= g.leaseUntil {
+		return runlog.Stale
+	}
 	switch ctx.Err() {
 	case nil:
 		return runlog.Done
--- a/test/fault/harness/fleet.go
+++ b/test/fault/harness/fleet.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/config"
 	"fulmarhinge/internal/contract"
 	"fulmarhinge/standin/runlog"
@@ -232,6 +233,8 @@
 // Evidence reads the logs of all backend servers.
 func (f *Fleet) Evidence(attempts []Attempt) (Evidence, error) {
 	e := Evidence{Attempts: attempts, Killed: make(map[string]time.Time), Collected: time.Now()}
+	e.Fenced = f.Options.Service.ChecksFence
+	e.BootOffset = e.Collected.UnixNano() - int64(clock.Now())
 	for _, n := range f.Nodes {
 		records, err := runlog.Read(n.runLog)
 		if err != nil {
--- a/test/fault/harness/judge.go
+++ b/test/fault/harness/judge.go
@@ -16,6 +16,11 @@
 	Killed map[string]time.Time
 	// Collected is when the logs were read.
 	Collected time.Time
+	// Fenced is true if the backend servers check fences, when work ends too.
+	Fenced bool
+	// BootOffset turns a reading of the boot-time clock into wall time, both in
+	// nanoseconds.
+	BootOffset int64
 }
 
 // Violation is one broken guarantee.
@@ -78,6 +83,12 @@
 		if runs[i].outcome == runlog.Deadline && runs[i].DeadlineAt < runs[i].end {
 			runs[i].end = max(runs[i].DeadlineAt, runs[i].At)
 		}
+		// So does one that was frozen with its VM under a lease that has ended
+		// since. If it checks fences, what it gave up had no effect after that.
+		gaveUp := runs[i].outcome == runlog.Cancelled || runs[i].outcome == runlog.Stale
+		if lease := runs[i].LeaseUntil + e.BootOffset; e.Fenced && gaveUp && runs[i].LeaseUntil > 0 && lease < runs[i].end {
+			runs[i].end = max(lease, runs[i].At)
+		}
 	}
 	slices.SortStableFunc(runs, func(a, b run) int { return int(a.At - b.At) })
 	return runs
