--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -146,7 +146,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	heard := &heardConn{Conn: conn}
+	heard := &heardConn{Conn: newBatchConn(conn)}
 	mux, err := yamux.Client(heard, sessionConfig(0, trafficWrite))
 	if err != nil {
 		_ = conn.Close()
@@ -157,7 +157,7 @@
 
 // acceptTraffic hands each stream of a session that a peer opened to onStream.
 func (t *Transport) acceptTraffic(from cluster.MemberRef, conn net.Conn) {
-	mux, err := yamux.Server(conn, sessionConfig(0, trafficWrite))
+	mux, err := yamux.Server(newBatchConn(conn), sessionConfig(0, trafficWrite))
 	if err != nil {
 		return
 	}
