Close two gaps in the times of idempotency keys

Failing first: a caller ahead of an owner that is itself ahead of the next one could have its key taken for new there and run twice (3.9 s ahead at a bound of 2 s: ran); the floors now allow for both clocks, and a key that is ahead by more than one bound is not called not run. A release claimed to know all keys of the last 5 s also when keys were remembered for less. An entry whose stream to the owner broke asks again if the request has a key and gets the only run's answer.

--- a/internal/backend/history.go
+++ b/internal/backend/history.go
@@ -21,8 +21,13 @@
 	// forgotten and since are times up to which keys may have run.
 	forgotten time.Time
 	since     time.Time
-	bound     time.Duration
-	history   []*wire.History
+	// ahead is the latest time of a key that this owner takes for new.
+	ahead time.Time
+	// skew is how far the time of a key can lie after that of its run, as read
+	// on this node's clock: the caller's clock may be ahead of an earlier
+	// owner's, and that one's ahead of this.
+	skew    time.Duration
+	history []*wire.History
 }
 
 // past returns what is known of keys that are not in the table.
@@ -30,7 +35,8 @@
 	p := keyPast{
 		forgotten: now.Add(-g.table.limits.Age),
 		since:     now,
-		bound:     g.table.limits.ClockBound,
+		ahead:     now.Add(g.table.limits.ClockBound),
+		skew:      2 * g.table.limits.ClockBound,
 		history:   r.history,
 	}
 	if since, ok := g.src.ServingSince(r.unit, r.epoch); ok {
@@ -44,16 +50,16 @@
 // owner said that it had not let it through.
 func (p keyPast) mayHaveRun(id idempotencyID) bool {
 	made := keyTime(id.key)
-	if !made.After(p.forgotten.Add(p.bound)) {
+	if !made.After(p.forgotten.Add(p.skew)) || made.After(p.ahead) {
 		return true
 	}
-	if made.After(p.since.Add(p.bound)) {
+	if made.After(p.since.Add(p.skew)) {
 		return false
 	}
 	hash := id.hash()
 	for _, h := range p.history {
 		floor := time.UnixMilli(h.GetFloorMs())
-		if _, seen := slices.BinarySearch(h.GetSeen(), hash); seen || !made.After(floor.Add(p.bound)) {
+		if _, seen := slices.BinarySearch(h.GetSeen(), hash); seen || !made.After(floor.Add(p.skew)) {
 			return true
 		}
 	}
@@ -80,7 +86,8 @@
 // which the key was served.
 func (g *Gate) History(u cluster.Unit, epoch uint64) *wire.History {
 	now := time.Now()
-	floor := now.Add(-historySpan)
+	// What was forgotten can't be named.
+	floor := now.Add(-min(historySpan, g.table.limits.Age))
 	since, ok := g.src.ServingSince(u, epoch)
 	if !ok {
 		since, ok = g.src.ServingSince(shardOf(u), epoch)
--- a/internal/backend/history_test.go
+++ b/internal/backend/history_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -40,10 +41,11 @@
 		{"made within the bound of an earlier owner's floor", asked, time.Second, []*wire.History{sawNot, brief}, true},
 		{"older than what an earlier owner names", id(6 * time.Second), time.Second, []*wire.History{sawNot}, true},
 		{"older than the table remembers", id(11 * time.Minute), time.Hour, []*wire.History{sawNot}, true},
+		{"made ahead of what this owner takes for new", id(-time.Second), time.Hour, nil, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			p := keyPast{forgotten: now.Add(-10 * time.Minute), since: now.Add(-c.since), bound: bound, history: c.history}
+			p := keyPast{forgotten: now.Add(-10 * time.Minute), since: now.Add(-c.since), ahead: now.Add(bound), skew: bound, history: c.history}
 			if got := p.mayHaveRun(c.id); got != c.want {
 				t.Fatalf("may have run: %t, want %t", got, c.want)
 			}
@@ -57,7 +59,7 @@
 	now := time.Now()
 	use := func(u cluster.Unit, at time.Time) idempotencyID {
 		id := idempotencyID{unit: u, customer: "c", key: uuidAt(at)}
-		if _, first, refusal := table.begin(id, 1, at, keyPast{since: at.Add(-time.Hour)}); refusal != nil || !first {
+		if _, first, refusal := table.begin(id, 1, at, keyPast{since: at.Add(-time.Hour), ahead: at}); refusal != nil || !first {
 			t.Fatalf("key not taken: %v", refusal)
 		}
 		return id
@@ -70,3 +72,16 @@
 		t.Fatalf("got %d keys, want the one recent key of the shard", len(got))
 	}
 }
+
+// A key that was forgotten can't be named to the next owner, so the floor lies
+// above it.
+func TestHistoryCoversOnlyWhatIsRemembered(t *testing.T) {
+	g := newGateTest(t, func(http.ResponseWriter, *http.Request) {})
+	const age = 200 * time.Millisecond
+	g.SetIdempotency(IdempotencyLimits{Age: age, ClockBound: time.Nanosecond})
+	time.Sleep(3 * age)
+	floor := time.UnixMilli(g.History(testUnit, 7).GetFloorMs())
+	if oldest := time.Now().Add(-2 * age); floor.Before(oldest) {
+		t.Fatalf("the floor lies %v back, keys are remembered for %v", time.Since(floor), age)
+	}
+}
--- a/internal/backend/idempotency.go
+++ b/internal/backend/idempotency.go
@@ -23,7 +23,7 @@
 	// Defaults of IdempotencyLimits.
 	DefaultIdempotencyEntries = 100_000
 	DefaultIdempotencyAge     = 10 * time.Minute
-	DefaultClockBound         = 500 * time.Millisecond
+	DefaultClockBound         = 250 * time.Millisecond
 	// keysPerCustomer is the part of the entries that one customer may use, as
 	// a divisor.
 	keysPerCustomer = 4
@@ -41,7 +41,7 @@
 	// Age is how long a key is remembered. One that is older and not in the
 	// table gets outcome unknown.
 	Age time.Duration
-	// ClockBound is how far the clocks of callers and nodes may be apart.
+	// ClockBound is how far any two clocks of callers and nodes may be apart.
 	ClockBound time.Duration
 }
 
@@ -207,14 +207,15 @@
 	return time.UnixMilli(int64(binary.BigEndian.Uint64(b[:])))
 }
 
-// parseKey checks an idempotency key. One that lies in the future would pass
-// for new at a later owner, so it is refused.
+// parseKey checks an idempotency key. No owner lets a key through that is more
+// than the clock bound ahead of its own clock (see begin), so one that is more
+// than twice the bound ahead of this clock has run nowhere.
 func parseKey(text string, now time.Time, clockBound time.Duration) (uuid.UUID, *result.Error) {
 	id, err := uuid.Parse(text)
 	if err != nil || id.Version() != 7 {
 		return id, result.Errorf(result.IdempotencyKeyBad, "The idempotency key is not a UUIDv7.")
 	}
-	if keyTime(id).After(now.Add(clockBound)) {
+	if keyTime(id).After(now.Add(2 * clockBound)) {
 		return id, result.Errorf(result.IdempotencyKeyBad, "The idempotency key lies in the future; the caller's clock may be wrong.")
 	}
 	return id, nil
--- a/internal/backend/idempotency_test.go
+++ b/internal/backend/idempotency_test.go
@@ -103,6 +103,21 @@
 	}
 }
 
+// An owner whose clock is ahead by the bound takes a key of a caller that is
+// ahead of it by the bound. The next owner must not take it for new, nor say
+// that it has not run.
+func TestKeyOfAClockAheadIsNotNewAtTheNextOwner(t *testing.T) {
+	const bound = 2 * time.Second
+	for _, ahead := range []time.Duration{0, bound / 2, bound, 2*bound - 100*time.Millisecond} {
+		g := newGateTest(t, func(http.ResponseWriter, *http.Request) {})
+		g.SetIdempotency(IdempotencyLimits{ClockBound: bound})
+		_, err := g.do(withKey("r", keyAt(time.Now().Add(ahead), 1)))
+		if codeOf(err) != result.IdempotencyKeyTooOld || g.runs.Load() != 0 {
+			t.Errorf("a key %v ahead got %d with %d runs", ahead, codeOf(err), g.runs.Load())
+		}
+	}
+}
+
 func TestKeyOfAnotherRequestIsRefused(t *testing.T) {
 	g := newKeyGate(t, 0, func(http.ResponseWriter, *http.Request) {})
 	key := newKey(1)
--- a/internal/caller/fault_test.go
+++ b/internal/caller/fault_test.go
@@ -4,14 +4,17 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
+	"fulmarhinge/internal/backend"
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/header"
 	"fulmarhinge/internal/peer"
@@ -260,3 +263,35 @@
 		t.Fatalf("the heap grew by %d bytes", peak)
 	}
 }
+
+// The stream to the owner breaks after the request has run. With an idempotency
+// key the entry asks again and the caller gets the answer of the only run.
+func TestBrokenStreamWithKeyFetchesTheAnswerOfTheOnlyRun(t *testing.T) {
+	ran := make(chan struct{}, 10)
+	f := newFleet(t, 2, keyedService, func(n *testNode) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			n.runs.Add(1)
+			ran <- struct{}{}
+			time.Sleep(50 * time.Millisecond)
+			fmt.Fprint(w, "charged")
+		}
+	})
+	f.nodes[0].gate.SetIdempotency(backend.IdempotencyLimits{ClockBound: time.Nanosecond})
+	time.Sleep(3 * time.Millisecond)
+	key, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newCutProxy(t, f.nodes[0].transport.Addr())
+	f.publish(func(_ int, v *view.View) { v.Members["n0"].PeerAddr = p.Addr().String() })
+	answered := make(chan reply, 1)
+	go func() {
+		answered <- f.nodes[1].send(t, "POST", "/p/k", strings.NewReader("b"), header.IdempotencyKey, key.String())
+	}()
+	<-ran
+	p.breakAll()
+	got := <-answered
+	if got.code != result.OK || got.body != "charged" || f.nodes[0].runs.Load() != 1 {
+		t.Fatalf("got %d %q, %d runs", got.code, got.body, f.nodes[0].runs.Load())
+	}
+}
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -119,6 +119,13 @@
 	return s
 }
 
+// hasKey reports whether the owner's gate recognises a repetition of the
+// request by its idempotency key, so that sending it again after a broken
+// stream fetches the first run's answer and never causes a second run.
+func (q *request) hasKey() bool {
+	return q.service.DividedByKey && q.http.Header.Get(header.IdempotencyKey) != ""
+}
+
 // head returns the head that goes to a gate.
 func (q *request) head(v *view.View, unit cluster.Unit, left time.Duration) *wire.RequestHead {
 	shard := int32(-1)
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -176,7 +176,8 @@
 		return false
 	}
 	if refusal.Kind() == result.Unknown {
-		return t.request.idempotent && passing(refusal.Code) && t.server.budget.spend()
+		safe := t.request.idempotent || refusal.Code == result.OwnerLost && t.request.hasKey()
+		return safe && passing(refusal.Code) && t.server.budget.spend()
 	}
 	if settles(refusal.Code) {
 		return true
