--- a/internal/caller/fault_test.go
+++ b/internal/caller/fault_test.go
@@ -282,14 +282,25 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := newCutProxy(t, f.nodes[0].transport.Addr())
-	f.publish(func(_ int, v *view.View) { v.Members["n0"].PeerAddr = p.Addr().String() })
+	// The entry reaches the owner's gate through a transport of its own, which
+	// can be closed while the gate goes on.
+	front := peer.New(peer.Config{Fleet: "t", Self: cluster.MemberRef{Name: "n0", Incarnation: 1}, Listen: "127.0.0.1:0"},
+		func(cluster.MemberRef, *wire.Control) {}, func(_ context.Context, from cluster.MemberRef, conn net.Conn) {
+			f.nodes[0].gate.ServeStream(context.Background(), from, conn)
+		})
+	if err = front.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	defer front.Close()
+	go front.Serve(t.Context())
+	f.publish(func(_ int, v *view.View) { v.Members["n0"].PeerAddr = front.Addr() })
 	answered := make(chan reply, 1)
 	go func() {
 		answered <- f.nodes[1].send(t, "POST", "/p/k", strings.NewReader("b"), header.IdempotencyKey, key.String())
 	}()
 	<-ran
-	p.breakAll()
+	front.Close()
+	f.publish(func(int, *view.View) {})
 	got := <-answered
 	if got.code != result.OK || got.body != "charged" || f.nodes[0].runs.Load() != 1 {
 		t.Fatalf("got %d %q, %d runs", got.code, got.body, f.nodes[0].runs.Load())
--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -5,12 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -269,49 +267,3 @@
 		}
 	}
 }
-
-// cutProxy forwards connections until they are broken.
-type cutProxy struct {
-	net.Listener
-	mu    sync.Mutex
-	conns []net.Conn
-}
-
-func newCutProxy(t *testing.T, to string) *cutProxy {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := &cutProxy{Listener: ln}
-	t.Cleanup(func() { _ = ln.Close(); p.breakAll() })
-	go func() {
-		for {
-			in, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			out, err := net.Dial("tcp", to)
-			if err != nil {
-				_ = in.Close()
-				continue
-			}
-			p.mu.Lock()
-			p.conns = append(p.conns, in, out)
-			p.mu.Unlock()
-			go io.Copy(in, out)
-			go io.Copy(out, in)
-		}
-	}()
-	return p
-}
-
-// breakAll closes the connections that were made so far.
-func (p *cutProxy) breakAll() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.conns {
-		_ = c.Close()
-	}
-	p.conns = nil
-}
