Say draining only for what the stop causes, and take no memory on a peer's word

Failing first: a bad idempotency key at a stopping node got 2301 (draining). A head of 256 KB was allocated before its bytes came; buffers above 8 KB now grow with them.

--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -157,6 +157,8 @@
 	kind   string
 	body   string
 	header http.Header
+	// closed is true if the connection ends after the answer.
+	closed bool
 	err    error
 }
 
@@ -180,7 +182,7 @@
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	r := reply{status: resp.StatusCode, body: string(b), header: resp.Header, err: err, kind: resp.Header.Get(header.Result)}
+	r := reply{status: resp.StatusCode, body: string(b), header: resp.Header, closed: resp.Close, err: err, kind: resp.Header.Get(header.Result)}
 	_, _ = fmt.Sscan(resp.Header.Get(header.Code), (*uint32)(&r.code))
 	return r
 }
@@ -267,3 +269,10 @@
 		}
 	}
 }
+
+// waitingContract returns the test's contract with another waiting limit.
+func waitingContract(v *view.View, limit int) contract.Contract {
+	c := v.Config.Contracts["acme"]
+	c.Total.MaxWaiting = limit
+	return c
+}
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -265,7 +265,7 @@
 	if t.mayHaveRun != nil {
 		return t.mayHaveRun
 	}
-	if v.Draining && refusal.Code != result.DeadlineBefore {
+	if v.Draining && (settles(refusal.Code) || passing(refusal.Code) || refusal.Code == result.WaitingFull) {
 		return result.Errorf(result.Draining, "The node is stopping and could not forward the request: %s", refusal.Message)
 	}
 	return refusal
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -104,13 +104,31 @@
 
 // ReadMessage reads the payload of a frame into m.
 func ReadMessage(r io.Reader, size int, m proto.Message) error {
-	buf := make([]byte, size)
-	if _, err := io.ReadFull(r, buf); err != nil {
+	buf, err := readPayload(r, size)
+	if err != nil {
 		return err
 	}
 	return ErrMalformed.Wrap(proto.Unmarshal(buf, m))
 }
 
+// trustedSize is how many bytes are taken from memory on the word of a peer.
+const trustedSize = 8 << 10
+
+// readPayload reads size bytes. A large buffer grows with the bytes that
+// arrive, so a false length costs no memory.
+func readPayload(r io.Reader, size int) ([]byte, error) {
+	if size <= trustedSize {
+		buf := make([]byte, size)
+		_, err := io.ReadFull(r, buf)
+		return buf, err
+	}
+	buf, err := io.ReadAll(io.LimitReader(r, int64(size)))
+	if err == nil && len(buf) < size {
+		err = io.ErrUnexpectedEOF
+	}
+	return buf, err
+}
+
 // appendSized appends a message after its length, without a kind.
 func appendSized(b []byte, m proto.Message, limit int) ([]byte, error) {
 	start := len(b)
@@ -127,8 +145,7 @@
 	return b, nil
 }
 
-// readSized reads a message after its length. It allocates no more than the
-// bytes that arrive need, so a false length costs no memory.
+// readSized reads a message after its length.
 func readSized(r io.Reader, m proto.Message, limit int) error {
 	var hdr [lengthSize]byte
 	if _, err := io.ReadFull(r, hdr[:]); err != nil {
@@ -138,12 +155,5 @@
 	if int64(size) > int64(limit) {
 		return ErrMalformed.New("message of %d bytes exceeds its limit of %d", size, limit)
 	}
-	buf, err := io.ReadAll(io.LimitReader(r, int64(size)))
-	if err != nil {
-		return err
-	}
-	if len(buf) < int(size) {
-		return io.ErrUnexpectedEOF
-	}
-	return ErrMalformed.Wrap(proto.Unmarshal(buf, m))
+	return ReadMessage(r, int(size), m)
 }
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -52,3 +52,25 @@
 		}
 	})
 }
+
+// A peer that announces large messages and sends nothing of them costs little.
+func TestFalseLengthCostsNoMemory(t *testing.T) {
+	frame := make([]byte, FrameHeader, FrameHeader+1)
+	PutFrameHeader(frame, FrameHead, MaxHead)
+	most := 0
+	for range 1000 {
+		r := bytes.NewReader(append(frame, 0))
+		_, size, err := ReadFrameHeader(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		buf, err := readPayload(r, size)
+		if err == nil {
+			t.Fatal("a cut message was taken for whole")
+		}
+		most = max(most, cap(buf))
+	}
+	if most > trustedSize {
+		t.Fatalf("%d bytes were taken for a message of one byte", most)
+	}
+}
