--- /dev/null
+++ b/internal/caller/once_test.go
@@ -0,0 +1,199 @@
+package caller
+
+import (
+	"fmt"
+	"math/rand"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"fulmarhinge/internal/backend"
+	"fulmarhinge/internal/clock"
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/header"
+	"fulmarhinge/internal/result"
+	"fulmarhinge/internal/view"
+	"fulmarhinge/internal/wire"
+)
+
+// onceClockBound is small so that few keys fall within it of a move.
+const onceClockBound = 5 * time.Millisecond
+
+// owners plays the control side: it moves all shards between nodes, with a
+// hand-over or by eviction.
+type owners struct {
+	*fleet
+	owner int
+	epoch uint64
+}
+
+// assign publishes owner in a state to a node, with what was passed on.
+func (o *owners) assign(node, owner int, state view.UnitState, history map[cluster.Unit]*wire.History) {
+	v := o.view(node)
+	clear(v.Owned)
+	ref := cluster.MemberRef{Name: o.nodes[owner].name, Incarnation: 1}
+	for s := range testShards {
+		u := cluster.Unit{Service: keyedService, Shard: s}
+		v.Tables[keyedService].Shards[s] = cluster.Assignment{Owner: ref, Epoch: o.epoch}
+		if node != owner {
+			continue
+		}
+		owned := view.Owned{State: state, Epoch: o.epoch}
+		if history[u] != nil {
+			owned.History = []*wire.History{history[u]}
+		}
+		v.Owned[u] = owned
+	}
+	o.nodes[node].src.Publish(v)
+}
+
+// handOver moves all shards as a planned move does.
+func (o *owners) handOver(t *testing.T, to int) {
+	old := o.nodes[o.owner]
+	o.assign(o.owner, o.owner, view.Stopping, nil)
+	history := map[cluster.Unit]*wire.History{}
+	for s := range testShards {
+		u := cluster.Unit{Service: keyedService, Shard: s}
+		eventually(t, "the unit is idle", func() bool { return old.gate.InFlight(u) == 0 })
+		history[u] = old.gate.History(u, o.epoch)
+	}
+	o.owner = to
+	o.epoch++
+	for i := range o.nodes {
+		o.assign(i, to, view.Serving, history)
+	}
+}
+
+// evict takes all shards from an owner that does not notice: its lease lapses
+// and its view stays as it is until the next change.
+func (o *owners) evict(to int) {
+	old := o.owner
+	o.nodes[old].src.SetLease(clock.Now())
+	o.owner = to
+	o.epoch++
+	for i := range o.nodes {
+		if i != old {
+			o.assign(i, to, view.Serving, nil)
+		}
+	}
+}
+
+// comeBack lets an evicted node see the present owner and have a lease again.
+func (o *owners) comeBack(node int) {
+	o.assign(node, o.owner, view.Serving, nil)
+	o.nodes[node].src.SetLease(clock.Now().Add(longLease))
+}
+
+// ledger counts runs by idempotency key and by request id.
+type ledger struct {
+	mu       sync.Mutex
+	keys     map[string]int
+	requests map[string]bool
+}
+
+func (l *ledger) handler(*testNode) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		key := r.Header.Get(header.IdempotencyKey)
+		l.mu.Lock()
+		l.keys[key]++
+		l.requests[r.Header.Get(header.RequestID)] = true
+		n := len(l.requests)
+		l.mu.Unlock()
+		time.Sleep(time.Duration(n%5) * time.Millisecond)
+		if n%11 == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, key)
+	}
+}
+
+// Callers send each key again, through any node, until it is answered or they
+// give up, while ownership moves by hand-overs and evictions and answers are
+// lost. No key runs twice, an answer names its key, and what was called not
+// run has not run.
+func TestKeysRunAtMostOnceWhileOwnershipMoves(t *testing.T) {
+	const seed, callers, keysEach, tries = 7, 8, 40, 4
+	l := &ledger{keys: map[string]int{}, requests: map[string]bool{}}
+	o := &owners{fleet: newFleet(t, 3, keyedService, l.handler), epoch: 1}
+	for _, n := range o.nodes {
+		n.gate.SetIdempotency(backend.IdempotencyLimits{ClockBound: onceClockBound})
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	outcomes := map[string]int{}
+	for c := range callers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rng := rand.New(rand.NewSource(seed + int64(c)))
+			for range keysEach {
+				kind := l.sendKey(t, o, rng, tries)
+				mu.Lock()
+				outcomes[kind]++
+				mu.Unlock()
+			}
+		}()
+	}
+	done := make(chan struct{})
+	go func() { wg.Wait(); close(done) }()
+	moves := moveUntil(t, o, done)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, n := range l.keys {
+		if n > 1 {
+			t.Errorf("seed %d: key %s ran %d times", seed, key, n)
+		}
+	}
+	if outcomes["answered"] < callers*keysEach/2 {
+		t.Errorf("seed %d: only %v", seed, outcomes)
+	}
+	t.Logf("%d moves, last outcome of %d keys: %v", moves, callers*keysEach, outcomes)
+}
+
+// sendKey sends one key until it is answered, and returns its last result.
+func (l *ledger) sendKey(t *testing.T, o *owners, rng *rand.Rand, tries int) string {
+	key := uuid.Must(uuid.NewV7()).String()
+	last := ""
+	for range tries {
+		n := o.nodes[rng.Intn(len(o.nodes))]
+		got := n.send(t, "POST", "/p/k"+key[len(key)-1:], strings.NewReader("b"),
+			header.IdempotencyKey, key, header.RequestTimeoutMs, "300")
+		last = got.kind
+		l.mu.Lock()
+		ran := l.requests[got.header.Get(header.RequestID)]
+		l.mu.Unlock()
+		if got.kind == result.NotRun.String() && ran {
+			t.Errorf("request %s was called not run (%d) and ran", got.header.Get(header.RequestID), got.code)
+		}
+		if got.code == result.OK {
+			if got.body != key {
+				t.Errorf("key %s got the answer %q", key, got.body)
+			}
+			return last
+		}
+	}
+	return last
+}
+
+// moveUntil moves ownership until done is closed and returns how often.
+func moveUntil(t *testing.T, o *owners, done <-chan struct{}) int {
+	for moves := 0; ; moves++ {
+		select {
+		case <-done:
+			return moves
+		case <-time.After(40 * time.Millisecond):
+		}
+		old, to := o.owner, (o.owner+1)%len(o.nodes)
+		if moves%2 == 0 {
+			o.handOver(t, to)
+			continue
+		}
+		o.evict(to)
+		time.Sleep(10 * time.Millisecond)
+		o.comeBack(old)
+	}
+}
