--- a/test/fault/harness/judge_test.go
+++ b/test/fault/harness/judge_test.go
@@ -1,7 +1,6 @@
 package harness
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -22,20 +21,27 @@
 	return l
 }
 
-func TestJudge(t *testing.T) {
-	late := recordList{}.run("a", 1, 10, 0, 1, "1", "")
-	late[0].DeadlineAt = 15
-	end := late[0]
+// lateRun is a run that a frozen server ends long after its deadline, with one
+// of the next owner in between.
+func lateRun() recordList {
+	l := recordList{}.run("a", 1, 10, 0, 1, "1", "")
+	l[0].DeadlineAt = 15
+	end := l[0]
 	end.Event, end.At, end.Outcome = runlog.End, 90, runlog.Deadline
-	late = append(late, end).run("b", 1, 20, 30, 2, "2", "")
-	frozen := recordList{}.run("a", 1, 10, 0, 1, "1", "")
-	frozen[0].LeaseUntil = 15
-	end = frozen[0]
-	end.Event, end.At, end.Outcome = runlog.End, 90, runlog.Cancelled
-	done := end
-	done.Outcome = runlog.Done
-	effect := append(slices.Clone(frozen), done).run("b", 1, 20, 30, 2, "2", "")
-	frozen = append(frozen, end).run("b", 1, 20, 30, 2, "2", "")
+	return append(l, end).run("b", 1, 20, 30, 2, "2", "")
+}
+
+// frozenRun is a run under a lease that ended while the server was frozen.
+func frozenRun(outcome runlog.Outcome) recordList {
+	l := recordList{}.run("a", 1, 10, 0, 1, "1", "")
+	l[0].LeaseUntil = 15
+	end := l[0]
+	end.Event, end.At, end.Outcome = runlog.End, 90, outcome
+	return append(l, end).run("b", 1, 20, 30, 2, "2", "")
+}
+
+func TestJudge(t *testing.T) {
+	late, frozen, effect := lateRun(), frozenRun(runlog.Cancelled), frozenRun(runlog.Done)
 	cases := map[string]struct {
 		records  recordList
 		fenced   bool
