Compare fairness against the same load outside the fleet

With the flood's generator on the machine in one half of the rounds only, the quiet customer's p99 changed by factors of 0.75 to 2.18 between pairs (5 pairs): it measured the machine. Now both halves carry it.

--- a/test/bench/fleet/fairness.go
+++ b/test/bench/fleet/fairness.go
@@ -18,15 +18,16 @@
 	loudBurst  = 20
 	loudFactor = 50
 
-	fairnessRounds   = 5
+	fairnessRounds   = 7
 	fairnessDuration = 5 * time.Second
 	// overshootRun is how long the loud customer goes on for the overshoot.
 	overshootRun = 20 * time.Second
 	window       = 10 * time.Second
 )
 
-// fairnessResult compares a customer's latency without and with another one
-// that exceeds its contract.
+// fairnessResult compares a customer's latency beside another one that exceeds
+// its contract with that beside the same load on a server outside the fleet, so
+// that the cost of making the load on the same machine is in both.
 type fairnessResult struct {
 	// Alone and Beside are quantiles of all rounds' requests.
 	Alone  harness.Summary `json:"alone"`
@@ -56,10 +57,16 @@
 		if err := fleet.WaitServed(keys, customer, startTimeout); err != nil {
 			return err
 		}
+		decoy, err := fleet.StartDecoy()
+		if err != nil {
+			return err
+		}
 		var alone, beside []time.Duration
 		for round := range uint64(fairnessRounds) {
+			flood := startFlood([]string{decoy}, keys, round)
 			a := quietRound(fleet, keys, round, &r)
-			flood := startFlood(fleet, keys, round)
+			flood.Stop()
+			flood = startFlood(fleet.Entries(), keys, round)
 			b := quietRound(fleet, keys, round+fairnessRounds, &r)
 			flood.Stop()
 			ratio := float64(harness.Summarize(b).P99) / float64(harness.Summarize(a).P99)
@@ -69,7 +76,7 @@
 		}
 		r.Alone = harness.Summarize(alone)
 		r.Beside = harness.Summarize(beside)
-		flood := startFlood(fleet, keys, 2*fairnessRounds)
+		flood := startFlood(fleet.Entries(), keys, 2*fairnessRounds)
 		time.Sleep(overshootRun)
 		r.overshoot(flood.Stop())
 		return nil
@@ -101,11 +108,11 @@
 }
 
 // startFlood offers a multiple of the loud customer's contract.
-func startFlood(fleet *harness.Fleet, keys []string, seed uint64) *harness.Load {
+func startFlood(entries, keys []string, seed uint64) *harness.Load {
 	interval := time.Duration(float64(time.Second) * float64(len(keys)) / (loudRate * loudFactor))
 	return harness.StartLoad(harness.LoadOptions{
 		Seed: seed, Keys: keys, Interval: interval, Customer: loudCustomer, PathPrefix: harness.PathPrefix,
-		Timeout: bound, MaxAttempts: 1, Entries: fleet.Entries,
+		Timeout: bound, MaxAttempts: 1, Entries: func() []string { return entries },
 	})
 }
 
--- a/test/bench/fleet/main.go
+++ b/test/bench/fleet/main.go
@@ -1,22 +1,22 @@
-// Command fleet measures fleets of real processes: unavailable time per key
-// under faults, the cost of the path of a request, and the cost of control at
-// several sizes. Seeds are fixed; it prints tables and writes JSON.
+// Command fleet measures fleets of real processes under load: unavailable time
+// per key under faults, the cost of the path of a request, and what a customer
+// far above its contract does to another. Seeds are fixed; it prints tables and
+// writes JSON.
 package main
 
 import (
-	"encoding/json"
 	"flag"
 	"fmt"
 	"log"
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
 	"fulmarhinge/internal/config"
 	"fulmarhinge/internal/contract"
+	"fulmarhinge/test/bench/report"
 	"fulmarhinge/test/fault/harness"
 )
 
@@ -28,33 +28,20 @@
 	parts  []string
 	out    string
 	rounds int
-	sizes  []int
 }
 
-func parseOptions() (options, error) {
-	parts := flag.String("parts", "faults,path,fairness,control", "what to measure")
-	sizes := flag.String("sizes", "10,50,100", "numbers of nodes for control")
+func parseOptions() options {
+	parts := flag.String("parts", "faults,path,fairness", "what to measure")
 	var o options
 	flag.StringVar(&o.out, "out", "bench-out", "directory for the results")
 	flag.IntVar(&o.rounds, "rounds", 3, "repetitions of each fault, with seeds from 1")
 	flag.Parse()
 	o.parts = strings.Split(*parts, ",")
-	for _, s := range strings.Split(*sizes, ",") {
-		n, err := strconv.Atoi(s)
-		if err != nil {
-			return o, err
-		}
-		o.sizes = append(o.sizes, n)
-	}
-	return o, nil
+	return o
 }
 
 func main() {
-	o, err := parseOptions()
-	if err != nil {
-		log.Fatal(err)
-	}
-	if err := run(o); err != nil {
+	if err := run(parseOptions()); err != nil {
 		log.Fatal(err)
 	}
 }
@@ -66,9 +53,6 @@
 		return err
 	}
 	defer binaries.Close()
-	if err := os.MkdirAll(o.out, 0o755); err != nil {
-		return err
-	}
 	parts := []struct {
 		name    string
 		measure func(*harness.Binaries, options) (any, error)
@@ -76,7 +60,6 @@
 		{"faults", measureFaults},
 		{"path", measurePath},
 		{"fairness", measureFairness},
-		{"control", measureControl},
 	}
 	for _, p := range parts {
 		if !slices.Contains(o.parts, p.name) {
@@ -86,21 +69,13 @@
 		if err != nil {
 			return fmt.Errorf("%s: %w", p.name, err)
 		}
-		if err := writeJSON(filepath.Join(o.out, p.name+".json"), result); err != nil {
+		if err := report.WriteJSON(filepath.Join(o.out, p.name+".json"), result); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func writeJSON(path string, v any) error {
-	b, err := json.MarshalIndent(v, "", "  ")
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(path, b, 0o644)
-}
-
 // fleetOptions are common to all parts.
 func fleetOptions(binaries *harness.Binaries, dir string) harness.Options {
 	return harness.Options{
--- a/test/fault/harness/fleet.go
+++ b/test/fault/harness/fleet.go
@@ -39,6 +39,7 @@
 	Platform *Process
 	Relay    *Process
 
+	decoy        *Process
 	pool         *addressPool
 	platformAddr string
 	relayAdmin   string
@@ -197,6 +198,24 @@
 	return err
 }
 
+// StartDecoy starts a backend server that belongs to no node and sheds every
+// request, and returns its address. Load sent there costs the machine about
+// what refused load costs, and touches no node.
+func (f *Fleet) StartDecoy() (string, error) {
+	address := f.pool.address(f.pool.vmIP())
+	p, err := f.spawn("decoy", programBackend, "--listen", address, "--connections", "1000")
+	if err != nil {
+		return "", err
+	}
+	f.decoy = p
+	const startTimeout = 5 * time.Second
+	if err := waitListening(address, startTimeout); err != nil {
+		return "", err
+	}
+	yes := true
+	return address, post("http://"+address+"/admin/switch", BackendSwitch{Shed: &yes})
+}
+
 // serverID is the id of the present backend server in the log of runs.
 func (n *Node) serverID() string { return fmt.Sprintf("%s/%d", n.Name, n.backendRuns) }
 
@@ -225,6 +244,7 @@
 		n.Node.Kill()
 		n.Backend.Kill()
 	}
+	f.decoy.Kill()
 	f.Relay.Kill()
 	f.Platform.Kill()
 }
