Leave a pin alone if a move of it is skipped

A move based on an older epoch changed the pin's split epoch although it was skipped. If other moves of the group were written, the owner of the pin would have forgotten which idempotency keys it had run (an honest refusal, no second run). The table test fails before.

--- a/internal/placement/apply.go
+++ b/internal/placement/apply.go
@@ -50,8 +50,7 @@
 	case m.Remove:
 		return a.removePin(at, shard, m)
 	default:
-		a.group.Pins[at].SplitEpoch = 0
-		return a.moveTo(&a.group.Pins[at].Assignment, m)
+		return a.movePin(&a.group.Pins[at], m)
 	}
 }
 
@@ -89,6 +88,15 @@
 	return true
 }
 
+// movePin gives a pin another owner than its shard had when it was cut out.
+func (a *applier) movePin(pin *cluster.Pin, m Move) bool {
+	if !a.moveTo(&pin.Assignment, m) {
+		return false
+	}
+	pin.SplitEpoch = 0
+	return true
+}
+
 // removePin returns a key to its shard. The owner of both serves both, so all
 // earlier owners have released them or are gone; were they still listed, the
 // shard's new epoch would have to wait for them again.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -218,13 +218,14 @@
 	}{
 		{"based on an older epoch", Move{Unit: shard, To: ref(1), Reason: Balance, FromEpoch: 3}},
 		{"new pin based on an older epoch", Move{Unit: cluster.Unit{Service: testService, Key: "x"}, To: ref(1), Reason: HotKey, FromEpoch: 3}},
+		{"pin based on an older epoch", Move{Unit: pin, To: ref(1), Reason: Balance, FromEpoch: 5}},
 		{"pin that is not there", Move{Unit: cluster.Unit{Service: testService, Key: "x"}, To: ref(1), Reason: Unpin, FromEpoch: 4}},
 		{"pin dissolved before it is served", Move{Unit: pin, To: ref(0), Reason: Unpin, FromEpoch: 6, Remove: true, ShardEpoch: 4}},
 		{"pin dissolved after its shard moved", Move{Unit: pin, To: ref(0), Reason: Unpin, FromEpoch: 6, FromServing: true, Remove: true, ShardEpoch: 3}},
 		{"shard of another group", Move{Unit: cluster.Unit{Service: testService, Shard: 1}, To: ref(1), FromEpoch: 4}},
 	}
 	g := &cluster.Group{Service: testService, Shards: []cluster.Assignment{{Owner: ref(0), Epoch: 4}}}
-	g.Pins = []cluster.Pin{{Key: "k", Assignment: cluster.Assignment{Owner: ref(0), Epoch: 6}}}
+	g.Pins = []cluster.Pin{{Key: "k", SplitEpoch: 4, Assignment: cluster.Assignment{Owner: ref(0), Epoch: 6}}}
 	for _, tt := range tests {
 		if out, n := Apply(g, []Move{tt.move}, isGone(nil)); n != 0 || !reflect.DeepEqual(g, out) {
 			t.Errorf("%s: written: %+v", tt.name, out)
