Let the nodes filter the time line, and select by age

Cause: the command fetched every ring whole. The nodes now send what the filter picks; for a unit they are asked again about its owners, since a node that saw an eviction need not know what the evicted one owned.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -134,6 +134,7 @@
 		{"status in JSON", "status --platform URL --output json", nil, result.ExitOK, `"not_answered": [`, ""},
 		{"timeline", "timeline --platform URL", nil, result.ExitOK, "second", ""},
 		{"timeline of a customer", "timeline --platform URL --customer shop", nil, result.ExitOK, "first", ""},
+		{"timeline since", "timeline --platform URL --since 1h --output json", nil, result.ExitOK, `"events": []`, ""},
 		{"timeline of a shard", "timeline --platform URL --shard 3", nil, result.ExitOK, "painel/3", ""},
 		{"drain", "drain a --platform URL", nil, result.ExitOK, "a#1: left", ""},
 		{"drain refused", "drain a --platform URL", errors.New("not now"), result.ExitFailure, "", "not now"},
@@ -171,6 +172,17 @@
 	}
 }
 
+func TestTimelineFindsWhatOthersSawOfAnOwner(t *testing.T) {
+	f := newFleet(t)
+	owner := cluster.MemberRef{Name: "x", Incarnation: 1}
+	f.a.events[0].Member = &owner
+	f.b.events = append(f.b.events, timeline.Event{Stamp: timeline.Stamp{Wall: 3}, Text: "gone", Kind: timeline.KindEviction, Member: &owner})
+	_, out, errOut := execute("timeline", "--platform", f.url, "--shard", "3")
+	if !strings.Contains(out, "second") || !strings.Contains(out, "gone") || strings.Contains(out, "first") {
+		t.Errorf("got %s%s", out, errOut)
+	}
+}
+
 func TestStatusLagsBehindTheAcceptedRevision(t *testing.T) {
 	f := newFleet(t)
 	head := cluster.Encode(config.Head{Accepted: config.Accepted{Revision: 6, ChangeID: "x"}})
--- a/internal/cli/timeline.go
+++ b/internal/cli/timeline.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/spf13/cobra"
 
+	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/operator"
 	"fulmarhinge/internal/timeline"
 )
@@ -22,6 +24,7 @@
 func newTimelineCmd(a *app) *cobra.Command {
 	var filter timeline.Filter
 	var shard int
+	var since time.Duration
 	cmd := &cobra.Command{
 		Use:   "timeline",
 		Short: "Show the events of all nodes in one order",
@@ -37,6 +40,9 @@
 			if cmd.Flags().Changed("shard") {
 				filter.Shard = &shard
 			}
+			if since > 0 {
+				filter.After = time.Now().Add(-since)
+			}
 			return a.timeline(cmd.Context(), filter)
 		},
 	}
@@ -46,6 +52,7 @@
 	f.IntVar(&shard, "shard", 0, "events of this shard and of its owners")
 	f.StringVar(&filter.VM, "vm", "", "events that this node saw, or that are about it")
 	f.StringVar(&filter.Customer, "customer", "", "events of this customer")
+	f.DurationVar(&since, "since", 0, "events of the last so long, such as 10m; all that are kept if 0s")
 	return cmd
 }
 
@@ -54,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	line := mergeAnswers(a.client().EventsAll(ctx, members), filter)
+	line := a.collectEvents(ctx, members, filter)
 	if err := a.print(line, timelineTable(line)); err != nil {
 		return err
 	}
@@ -64,11 +71,30 @@
 	return nil
 }
 
-// mergeAnswers merges the events of all nodes and then filters them.
-func mergeAnswers(answers []operator.Answer[operator.EventList], filter timeline.Filter) fleetTimeline {
+// collectEvents asks all nodes for what the filter picks. For a unit they are
+// asked again for what happened to its owners: a node that saw an owner's
+// eviction need not have seen that the unit was the owner's.
+func (a *app) collectEvents(ctx context.Context, members []cluster.Member, filter timeline.Filter) fleetTimeline {
+	filter.ShardCounts = map[string]int{}
+	line, events := mergeAnswers(a.client().EventsAll(ctx, members, filter), filter.ShardCounts)
+	names := map[string]bool{}
+	for owner := range filter.Owners(events) {
+		names[owner.Name] = true
+	}
+	for _, name := range sortedNames(names) {
+		about := timeline.Filter{VM: name, After: filter.After}
+		_, more := mergeAnswers(a.client().EventsAll(ctx, members, about), filter.ShardCounts)
+		events = timeline.Merge([][]timeline.Event{events, more})
+	}
+	line.Events = filter.Select(events)
+	return line
+}
+
+// mergeAnswers merges the events of all nodes, notes the numbers of shards and
+// names the nodes that did not answer.
+func mergeAnswers(answers []operator.Answer[operator.EventList], shards map[string]int) (fleetTimeline, []timeline.Event) {
 	line := fleetTimeline{NotAnswered: []silentNode{}}
 	lists := make([][]timeline.Event, 0, len(answers))
-	filter.ShardCounts = map[string]int{}
 	for _, answer := range answers {
 		if answer.Err != nil {
 			line.NotAnswered = append(line.NotAnswered, silent(answer.Member, answer.Err))
@@ -76,11 +102,10 @@
 		}
 		lists = append(lists, answer.Value.Events)
 		for service, n := range answer.Value.Shards {
-			filter.ShardCounts[service] = n
+			shards[service] = n
 		}
 	}
-	line.Events = filter.Select(timeline.Merge(lists))
-	return line
+	return line, timeline.Merge(lists)
 }
 
 func timelineTable(line fleetTimeline) *table {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -16,6 +16,7 @@
 
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/platform"
+	"fulmarhinge/internal/timeline"
 )
 
 // Error classes of the client.
@@ -92,9 +93,11 @@
 	return collect(ctx, members, c.Status)
 }
 
-// EventsAll asks each member for its events, in parallel.
-func (c *Client) EventsAll(ctx context.Context, members []cluster.Member) []Answer[EventList] {
-	return collect(ctx, members, c.Events)
+// EventsAll asks each member for the events that the filter picks, in parallel.
+func (c *Client) EventsAll(ctx context.Context, members []cluster.Member, f timeline.Filter) []Answer[EventList] {
+	return collect(ctx, members, func(ctx context.Context, addr string) (EventList, error) {
+		return c.Events(ctx, addr, f)
+	})
 }
 
 // Status asks the node at an operator address for its status.
@@ -104,10 +107,12 @@
 	return s, err
 }
 
-// Events asks the node at an operator address for all its events.
-func (c *Client) Events(ctx context.Context, addr string) (EventList, error) {
+// Events asks the node at an operator address for the events of its ring that
+// the filter picks.
+func (c *Client) Events(ctx context.Context, addr string, f timeline.Filter) (EventList, error) {
 	var list EventList
-	err := c.call(ctx, to(addr).Get(PathEvents), &list)
+	path := PathEvents + "?" + queryFromFilter(f).Encode()
+	err := c.call(ctx, to(addr).Get(path), &list)
 	return list, err
 }
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -85,6 +86,7 @@
 		{"status", &fakeNode{}, "GET", PathStatus, "", 200, `"revision_in_force":3`},
 		{"events of a key", &fakeNode{}, "GET", PathEvents + "?key=k", "", 200, `"text":"one"`},
 		{"unknown filter", &fakeNode{}, "GET", PathEvents + "?kee=k", "", 400, "kee"},
+		{"bad time", &fakeNode{}, "GET", PathEvents + "?after=now", "", 400, "expected a time"},
 		{"bad shard", &fakeNode{}, "GET", PathEvents + "?shard=x", "", 400, "whole number"},
 		{"drain", &fakeNode{}, "POST", PathDrain, "", 200, `"ok":true`},
 		{"drain by GET", &fakeNode{}, "GET", PathDrain, "", 405, ""},
@@ -121,12 +123,21 @@
 	if !ErrUnreachable.Has(answers[1].Err) || answers[1].Member.Name != "n2" {
 		t.Errorf("second answer: %+v", answers[1])
 	}
-	events := c.EventsAll(context.Background(), members[:1])
+	events := c.EventsAll(context.Background(), members[:1], timeline.Filter{})
 	if len(events[0].Value.Events) != 2 || events[0].Value.Shards["painel"] != 4 {
 		t.Errorf("events: %+v", events[0])
 	}
 }
 
+func TestFilterSurvivesItsQuery(t *testing.T) {
+	shard := 7
+	f := timeline.Filter{Service: "s", Key: "a b&c", Shard: &shard, VM: "v", Customer: "ä", After: time.Unix(5, 6).UTC()}
+	got, err := filterFromQuery(queryFromFilter(f))
+	if err != nil || !reflect.DeepEqual(got, f) {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
 func TestClientOrders(t *testing.T) {
 	node := &fakeNode{}
 	addr := start(t, node)
--- a/internal/timeline/merge.go
+++ b/internal/timeline/merge.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"fulmarhinge/internal/cluster"
 )
@@ -35,6 +36,8 @@
 	// VM is the name of a member, as recorder or as subject.
 	VM       string
 	Customer string
+	// After leaves out events up to that moment; zero for none.
+	After time.Time
 	// ShardCounts gives the number of shards of each service, for Key.
 	ShardCounts map[string]int
 }
@@ -43,17 +46,8 @@
 // or a shard it adds what happened to the members that owned it (lease,
 // eviction, drain), since that is why it could not be served.
 func (f Filter) Select(events []Event) []Event {
-	owners := map[cluster.MemberRef]bool{}
-	if f.byUnit() {
-		for _, e := range events {
-			if e.Unit != nil && f.matchUnit(*e.Unit) {
-				// An event without a member is about the node that recorded
-				// it; with one, the recorder may be a mere controller.
-				owners[subject(e)] = true
-			}
-		}
-	}
-	var picked []Event
+	owners := f.Owners(events)
+	picked := []Event{}
 	for _, e := range events {
 		if f.match(e, owners) {
 			picked = append(picked, e)
@@ -62,9 +56,29 @@
 	return picked
 }
 
+// Owners returns the members that owned, or were to own, what a filter by
+// service, key or shard picks; none for other filters.
+func (f Filter) Owners(events []Event) map[cluster.MemberRef]bool {
+	owners := map[cluster.MemberRef]bool{}
+	if !f.byUnit() {
+		return owners
+	}
+	for _, e := range events {
+		if e.Unit != nil && f.matchUnit(*e.Unit) {
+			// An event without a member is about the node that recorded it;
+			// with one, the recorder may be a mere controller.
+			owners[subject(e)] = true
+		}
+	}
+	return owners
+}
+
 func (f Filter) byUnit() bool { return f.Service != "" || f.Key != "" || f.Shard != nil }
 
 func (f Filter) match(e Event, owners map[cluster.MemberRef]bool) bool {
+	if !f.After.IsZero() && e.Stamp.Wall <= f.After.UnixNano() {
+		return false
+	}
 	if f.Customer != "" && e.Customer != f.Customer {
 		return false
 	}
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -137,7 +137,7 @@
 		{Text: "owner-evicted", Kind: KindEviction, Member: &owner, Node: stranger},
 		{Text: "stranger-evicted", Kind: KindEviction, Member: &stranger},
 		{Text: "successor-lease", Kind: KindLease, Node: successor},
-		{Text: "limit", Kind: KindLimit, Customer: "c1", Node: owner},
+		{Text: "limit", Kind: KindLimit, Customer: "c1", Node: owner, Stamp: Stamp{Wall: 2e9}},
 	}
 	tests := []struct {
 		name   string
@@ -149,6 +149,7 @@
 		{"key without counts", Filter{Key: key}, "pin"},
 		{"shard", Filter{Service: "painel", Shard: &other.Shard}, "other stranger-evicted"},
 		{"VM as recorder or subject", Filter{VM: "a"}, "mine owner-evicted limit"},
+		{"after", Filter{After: time.Unix(1, 0)}, "limit"},
 		{"customer", Filter{Customer: "c1"}, "limit"},
 	}
 	for _, tc := range tests {
