--- a/test/demo/kill.go
+++ b/test/demo/kill.go
@@ -78,7 +78,7 @@
 	fmt.Printf("   %s lost with %d keys: unserved for %s (median), %s (max); bound %s\n",
 		d.lost.Name, len(lost), round(summary.Median), round(summary.Max), unavailableBound)
 	fmt.Printf("   the other %d keys: longest gap between answers %s\n", len(others), round(rest.Max))
-	fmt.Printf("   callers saw: %v\n", count(attempts))
+	fmt.Printf("   callers saw: %s\n", count(attempts))
 	if summary.Max > unavailableBound {
 		return fmt.Errorf("a key was unserved for %s", summary.Max)
 	}
--- a/test/demo/serve.go
+++ b/test/demo/serve.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -122,11 +125,19 @@
 	})
 }
 
-// count counts the attempts of each class.
-func count(attempts []harness.Attempt) map[harness.Class]int {
-	classes := map[harness.Class]int{}
+// count lists how many attempts ended in each class, with their result codes.
+func count(attempts []harness.Attempt) string {
+	classes := map[string]int{}
 	for _, a := range attempts {
-		classes[a.Class]++
+		what := string(a.Class)
+		if a.Code != 0 && a.Class != harness.Answered {
+			what = fmt.Sprintf("%s (%d)", a.Class, a.Code)
+		}
+		classes[what]++
+	}
+	var parts []string
+	for _, what := range slices.Sorted(maps.Keys(classes)) {
+		parts = append(parts, fmt.Sprintf("%d %s", classes[what], what))
 	}
-	return classes
+	return strings.Join(parts, ", ")
 }
--- a/test/demo/stop.go
+++ b/test/demo/stop.go
@@ -142,8 +142,8 @@
 // reportStop checks that nothing was cut off by the stop.
 func reportStop(n *harness.Node, took time.Duration, slow, load []harness.Attempt) error {
 	fmt.Printf("   %s ended with code 0 after %s\n", n.Name, round(took))
-	fmt.Printf("   %d slow requests in flight: %v\n", len(slow), count(slow))
-	fmt.Printf("   load meanwhile: %v\n", count(load))
+	fmt.Printf("   %d slow requests in flight: %s\n", len(slow), count(slow))
+	fmt.Printf("   load meanwhile: %s\n", count(load))
 	for _, a := range slow {
 		if a.Class != harness.Answered {
 			return fmt.Errorf("slow request %s at %s: %s %d %s", a.ID, a.Entry, a.Class, a.Code, a.Detail)
