Hold 256 shards in a placement object

Ruled out: deltas between versions (a second way to be wrong about what a node holds); still larger objects.

A zone's loss rewrites 75 objects in place of 19, each once.

The test of the initial groups counts in GroupShards now, as strictly.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -135,7 +135,7 @@
 }
 
 // GroupShards is the largest number of shards in one placement object.
-const GroupShards = 1024
+const GroupShards = 256
 
 // Key prefixes of the platform objects.
 const (
--- a/internal/cluster/group_test.go
+++ b/internal/cluster/group_test.go
@@ -17,7 +17,7 @@
 			{Owner: a, Epoch: 4},
 			{Owner: b, Epoch: 9, Predecessors: []Predecessor{{MemberRef: a, Epoch: 8}}},
 		},
-		Pins:     []Pin{{Key: "k", Shard: 1025, Assignment: Assignment{Owner: b, Epoch: 5}}},
+		Pins:     []Pin{{Key: "k", Shard: 257, Assignment: Assignment{Owner: b, Epoch: 5}}},
 		ChangeID: "c",
 	}
 	var got Group
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -138,3 +139,39 @@
 		}
 	}
 }
+
+// BenchmarkState reports the memory of the control state and of the published
+// view, and the size of the stored objects.
+func BenchmarkState(b *testing.B) {
+	for _, n := range []int{100, 400, 1200} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			before := heapInUse()
+			m, objects := bigFleet(b, n)
+			v := m.buildView()
+			after := heapInUse()
+			var member, group int
+			for _, o := range objects {
+				if cluster.IsMemberKey(o.Key) {
+					member = max(member, len(o.Value))
+				} else {
+					group = max(group, len(o.Value))
+				}
+			}
+			b.ReportMetric(float64(after-before)/1e6, "MB")
+			b.ReportMetric(float64(member), "member-bytes")
+			b.ReportMetric(float64(group), "group-bytes")
+			runtime.KeepAlive(m)
+			runtime.KeepAlive(v)
+			for range b.N {
+				_ = v
+			}
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	var s runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -234,8 +234,8 @@
 }
 
 func TestInitialGroups(t *testing.T) {
-	groups := InitialGroups(config.Service{Name: testService, Shards: 2500})
-	if len(groups) != 3 || groups[2].First != 2048 || len(groups[2].Shards) != 452 {
+	groups := InitialGroups(config.Service{Name: testService, Shards: 2*cluster.GroupShards + 52})
+	if len(groups) != 3 || groups[2].First != 2*cluster.GroupShards || len(groups[2].Shards) != 52 {
 		t.Errorf("groups: %d", len(groups))
 	}
 }
