Cut callers that do not read their answer at the deadline

Failing first: a caller that stopped reading held its slot, and with it a planned stop, without end, because a write to its connection ignores the request's context.

--- a/internal/caller/fault_test.go
+++ b/internal/caller/fault_test.go
@@ -306,3 +306,36 @@
 		t.Fatalf("got %d %q, %d runs", got.code, got.body, f.nodes[0].runs.Load())
 	}
 }
+
+// A caller that does not read its answer holds the backend server's slot no
+// longer than its deadline.
+func TestSlowReaderIsCutAtTheDeadline(t *testing.T) {
+	f := newFleet(t, 2, keyedService, largeAnswer(64<<20))
+	for _, n := range f.nodes {
+		conn, err := net.Dial("tcp", n.entry.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "GET /p/k HTTP/1.1\r\nHost: x\r\nCustomer: acme\r\n%s: 200\r\n\r\n", header.RequestTimeoutMs)
+		eventually(t, "the request is at the gate", func() bool { return f.nodes[0].gate.Total() == 1 })
+		eventually(t, "the request has ended", func() bool { return f.nodes[0].gate.Total() == 0 })
+	}
+}
+
+// slowRefusal is an admitter that refuses after a wait.
+type slowRefusal struct{ wait time.Duration }
+
+func (s slowRefusal) Admit(context.Context, string, string) (func(), *result.Error) {
+	time.Sleep(s.wait)
+	return nil, result.New(result.OverContract)
+}
+
+// The refusal of a request that has waited long still reaches its caller.
+func TestLateRefusalReachesTheCaller(t *testing.T) {
+	f := newFleet(t, 1, keyedService, echoHandler)
+	f.nodes[0].entry.admitter = slowRefusal{wait: refusalTime + 300*time.Millisecond}
+	if got := f.nodes[0].send(t, "POST", "/p/k", strings.NewReader("b")); got.code != result.OverContract || got.status != 429 {
+		t.Fatalf("got %d, %v", got.code, got.err)
+	}
+}
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -18,9 +18,15 @@
 	maxBackoff   = 100 * time.Millisecond
 )
 
+// refusalTime is how long a caller may take to read an answer of the router's
+// own.
+const refusalTime = time.Second
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	a := &answer{w: w, control: http.NewResponseController(w), method: r.Method}
+	// Every request sets this anew, so it never ends a later one.
+	_ = a.control.SetWriteDeadline(time.Now().Add(refusalTime))
 	defer a.count(time.Now())
 	v := s.src.Current()
 	if v == nil || v.Config == nil {
@@ -56,6 +62,9 @@
 func (s *Server) serve(q *request, a *answer) *result.Error {
 	ctx, cancel := context.WithTimeout(q.http.Context(), q.maxTime)
 	defer cancel()
+	deadline, _ := ctx.Deadline()
+	// A caller that does not read its answer must not hold a slot for longer.
+	_ = a.control.SetWriteDeadline(deadline.Add(refusalTime))
 	done, refusal := s.admitter.Admit(ctx, q.customer, q.service.Name)
 	if refusal != nil {
 		return refusal
@@ -64,7 +73,6 @@
 		defer done()
 	}
 	s.budget.earn(time.Now())
-	deadline, _ := ctx.Deadline()
 	q.body = newReplayBody(a.w, q.http, s.cfg.Limits, deadline)
 	defer q.body.stop()
 	if q.http.ContentLength != 0 {
