--- a/internal/backend/history.go
+++ b/internal/backend/history.go
@@ -27,7 +27,7 @@
 	// on this node's clock: the caller's clock may be ahead of an earlier
 	// owner's, and that one's ahead of this.
 	skew    time.Duration
-	history []*wire.History
+	history *wire.History
 }
 
 // past returns what is known of keys that are not in the table.
@@ -46,8 +46,8 @@
 }
 
 // mayHaveRun reports whether an earlier run is not excluded. A key made after
-// this ownership began is new; one made before is new only if every earlier
-// owner said that it had not let it through.
+// this ownership began is new; one made before is new only if the last owner
+// said that it had not let it through.
 func (p keyPast) mayHaveRun(id idempotencyID) bool {
 	made := keyTime(id.key)
 	if !made.After(p.forgotten.Add(p.skew)) || made.After(p.ahead) {
@@ -56,14 +56,12 @@
 	if made.After(p.since.Add(p.skew)) {
 		return false
 	}
-	hash := id.hash()
-	for _, h := range p.history {
-		floor := time.UnixMilli(h.GetFloorMs())
-		if _, seen := slices.BinarySearch(h.GetSeen(), hash); seen || !made.After(floor.Add(p.skew)) {
-			return true
-		}
+	if p.history == nil {
+		return true
 	}
-	return len(p.history) == 0
+	floor := time.UnixMilli(p.history.GetFloorMs())
+	_, seen := slices.BinarySearch(p.history.GetSeen(), id.hash())
+	return seen || !made.After(floor.Add(p.skew))
 }
 
 // hash names the use of a key to the next owner.
--- a/internal/caller/once_test.go
+++ b/internal/caller/once_test.go
@@ -43,9 +43,7 @@
 			continue
 		}
 		owned := view.Owned{State: state, Epoch: o.epoch}
-		if history[u] != nil {
-			owned.History = []*wire.History{history[u]}
-		}
+		owned.History = history[u]
 		v.Owned[u] = owned
 	}
 	o.nodes[node].src.Publish(v)
