--- /dev/null
+++ b/internal/backend/slots_test.go
@@ -0,0 +1,89 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+)
+
+func TestSlotsServeCustomersInTurn(t *testing.T) {
+	s := newSlots(1)
+	if !s.acquire(context.Background(), "a") {
+		t.Fatal("no free slot")
+	}
+	var mu sync.Mutex
+	var order []string
+	var wg sync.WaitGroup
+	wait := func(customer string, n int64) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if s.acquire(context.Background(), customer) {
+				mu.Lock()
+				order = append(order, customer)
+				mu.Unlock()
+				s.release()
+			}
+		}()
+		eventually(t, "the request waits", func() bool { return s.waiting.Load() == n })
+	}
+	for i := range int64(5) {
+		wait("a", i+1)
+	}
+	wait("b", 6)
+	s.release()
+	wg.Wait()
+	if order[1] != "b" || len(order) != 6 {
+		t.Fatalf("served in the order %v", order)
+	}
+	if s.used.Load() != 0 || s.waiting.Load() != 0 || len(s.queues) != 0 {
+		t.Fatal("slots or waiters are left")
+	}
+}
+
+func TestSlotsAbandonedWaitersLeaveNothing(t *testing.T) {
+	s := newSlots(2)
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(i%7)*time.Millisecond)
+			defer cancel()
+			if s.acquire(ctx, fmt.Sprint(i%5)) {
+				time.Sleep(time.Millisecond)
+				s.release()
+			}
+		}()
+	}
+	wg.Wait()
+	if s.used.Load() != 0 || s.waiting.Load() != 0 || len(s.queues) != 0 || len(s.ring) != 0 {
+		t.Fatalf("left over: used %d waiting %d", s.used.Load(), s.waiting.Load())
+	}
+}
+
+func TestLoadsFindHotKeysInBoundedMemory(t *testing.T) {
+	l := newLoads()
+	for i := range 20000 {
+		l.add(testUnit, fmt.Sprintf("cold%d", i))
+		if i%20 == 0 {
+			l.add(testUnit, "hot")
+		}
+	}
+	got := l.take()
+	if got.Total != 21000 || len(got.Units) != 1 || len(got.Keys) > reportedKeys {
+		t.Fatalf("total %d, %d units, %d keys", got.Total, len(got.Units), len(got.Keys))
+	}
+	found := false
+	for _, k := range got.Keys {
+		found = found || k.Key == "hot" && k.Count >= 1000 && k.Count-k.Error <= 1000
+	}
+	if !found {
+		t.Fatal("the hot key was not found")
+	}
+	if again := l.take(); again.Total != 0 {
+		t.Fatal("counts were not started anew")
+	}
+}
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -113,7 +113,7 @@
 		if refusal.Kind() != result.NotRun {
 			t.mayHaveRun = refusal
 		}
-		if ctx.Err() != nil || !t.mayRetry(refusal) {
+		if !t.mayRetry(refusal) {
 			return t.final(v, refusal)
 		}
 		if refusal = t.wait(ctx, changed, refusal); refusal != nil {
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -22,6 +22,9 @@
 	// Leases must be renewed soon after a cut ends, so the backoff stays short.
 	minBackoff = 20 * time.Millisecond
 	maxBackoff = 250 * time.Millisecond
+	// senderIdle ends the goroutine of an address that is no longer written to,
+	// since VMs are replaced every day.
+	senderIdle = 10 * time.Minute
 	// staleAfter is the age at which a queued message is no longer worth
 	// sending; its sender has repeated it by then.
 	staleAfter = time.Second
@@ -93,7 +96,10 @@
 			}
 			var ok bool
 			if q, ok = s.next(nil); !ok {
-				return
+				if s.retire() {
+					return
+				}
+				continue
 			}
 		}
 		started := time.Now()
@@ -112,16 +118,23 @@
 	}
 }
 
+// retire removes an idle sender. It reports false if a message came in between;
+// one that comes later still is lost, as it may be on any connection.
+func (s *sender) retire() bool {
+	s.t.senders.CompareAndDelete(s.addr, s)
+	return len(s.queue) == 0 || s.t.ctx.Err() != nil
+}
+
 // next waits for a message that is not stale. It reports false if the session
 // has closed, was idle for long, or the transport ended; a nil channel means
 // that there is no session.
 func (s *sender) next(closed <-chan struct{}) (queued, bool) {
-	var idle <-chan time.Time
+	idleAfter := s.t.senderIdle
 	if closed != nil {
-		timer := time.NewTimer(idleTimeout)
-		defer timer.Stop()
-		idle = timer.C
+		idleAfter = idleTimeout
 	}
+	idle := time.NewTimer(idleAfter)
+	defer idle.Stop()
 	for {
 		select {
 		case q := <-s.queue:
@@ -133,7 +146,7 @@
 			return q, true
 		case <-closed:
 			return queued{}, false
-		case <-idle:
+		case <-idle.C:
 			return queued{}, false
 		case <-s.t.ctx.Done():
 			return queued{}, false
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -94,6 +94,8 @@
 	cancel context.CancelFunc
 	ln     net.Listener
 
+	// senderIdle is how long the sender to an address stays without messages.
+	senderIdle time.Duration
 	// senders and routes are keyed by address.
 	senders sync.Map
 	routes  sync.Map
@@ -114,7 +116,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Transport{
 		cfg: cfg, onControl: onControl, onStream: onStream,
-		log: cfg.Logger.Named("peer"), ctx: ctx, cancel: cancel,
+		log: cfg.Logger.Named("peer"), ctx: ctx, cancel: cancel, senderIdle: senderIdle,
 	}
 	t.SetSelf(cfg.Self)
 	return t
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -219,3 +219,20 @@
 		t.Fatalf("got message %d", got)
 	}
 }
+
+func TestIdleSenderEndsAndComesBack(t *testing.T) {
+	a, b := start(t, "f", "a"), start(t, "f", "b")
+	a.senderIdle = 20 * time.Millisecond
+	a.Send(b.Addr(), renew(1))
+	receive(t, b)
+	first := a.sender(b.Addr())
+	// The end of the session is followed by the idle time.
+	b.Close()
+	eventually(t, "the sender is gone", func() bool {
+		_, there := a.senders.Load(b.Addr())
+		return !there
+	})
+	if again := a.sender(b.Addr()); again == first {
+		t.Fatal("a sender that has ended is used again")
+	}
+}
