--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 # Writes tables to standard output and JSON to bench-out/.
 bench:
 	go run ./test/bench/limits
-	go run ./test/bench/placement
+	go run ./test/bench/placement --out bench-out/placement.json
 	go run ./test/bench/fleet
-	go run ./test/bench/configuration
-	go run ./test/bench/cost
+	go run ./test/bench/configuration --out bench-out/configuration.json
+	go run ./test/bench/cost --out bench-out/cost.json
--- a/test/bench/fleet/fairness.go
+++ b/test/bench/fleet/fairness.go
@@ -32,7 +32,8 @@
 	// Alone and Beside are quantiles of all rounds' requests.
 	Alone  harness.Summary `json:"alone"`
 	Beside harness.Summary `json:"beside_the_flood"`
-	// P99Ratios has one ratio for each pair of rounds.
+	// P50Ratios and P99Ratios have one ratio for each pair of rounds.
+	P50Ratios []float64 `json:"p50_ratios"`
 	P99Ratios []float64 `json:"p99_ratios"`
 	// Refused counts the requests of the quiet customer that were not answered.
 	Refused int `json:"refused"`
@@ -69,8 +70,9 @@
 			flood = startFlood(fleet.Entries(), keys, round)
 			b := quietRound(fleet, keys, round+fairnessRounds, &r)
 			flood.Stop()
-			ratio := float64(harness.Summarize(b).P99) / float64(harness.Summarize(a).P99)
-			r.P99Ratios = append(r.P99Ratios, ratio)
+			before, after := harness.Summarize(a), harness.Summarize(b)
+			r.P50Ratios = append(r.P50Ratios, float64(after.Median)/float64(before.Median))
+			r.P99Ratios = append(r.P99Ratios, float64(after.P99)/float64(before.P99))
 			alone = append(alone, a...)
 			beside = append(beside, b...)
 		}
@@ -83,8 +85,9 @@
 	})
 	fmt.Printf("\nquiet customer: p50 %v, p99 %v alone; p50 %v, p99 %v beside a customer at %d times its contract\n",
 		r.Alone.Median, r.Alone.P99, r.Beside.Median, r.Beside.P99, loudFactor)
-	fmt.Printf("p99 ratio of each pair of rounds %.2f, refused %d; flood answered %d of %d, overshoot over 10 s %+.1f%%\n",
-		r.P99Ratios, r.Refused, r.LoudAnswered, r.LoudOffered, 100*r.LoudOvershoot)
+	fmt.Printf("ratios of each pair of rounds: p50 %.2f, p99 %.2f\n", r.P50Ratios, r.P99Ratios)
+	fmt.Printf("refused %d; flood answered %d of %d, overshoot over 10 s %+.1f%%\n",
+		r.Refused, r.LoudAnswered, r.LoudOffered, 100*r.LoudOvershoot)
 	return r, err
 }
 
