--- a/internal/caller/metrics.go
+++ b/internal/caller/metrics.go
@@ -14,10 +14,10 @@
 // metrics library takes a lock, which all requests would share.
 var (
 	requestsByCode = countersByCode()
-	requestSeconds = newDurations("fulmarhinge_request_seconds",
+	requestSeconds = newDurations(
 		time.Millisecond, 2*time.Millisecond, 5*time.Millisecond, 11*time.Millisecond,
 		25*time.Millisecond, 50*time.Millisecond, 100*time.Millisecond, 250*time.Millisecond,
-		500*time.Millisecond, time.Second, 3*time.Second, 10*time.Second)
+		500*time.Millisecond, time.Second, 3*time.Second, 10*time.Second).register("fulmarhinge_request_seconds")
 )
 
 // countersByCode makes a counter for each result code. The map is never
@@ -40,15 +40,18 @@
 	sum atomic.Int64
 }
 
-// newDurations registers a histogram in the usual form: buckets that count
-// all durations up to their bound.
-func newDurations(name string, bounds ...time.Duration) *durations {
-	d := &durations{bounds: bounds, counts: make([]atomic.Uint64, len(bounds)+1)}
-	for i, b := range bounds {
+func newDurations(bounds ...time.Duration) *durations {
+	return &durations{bounds: bounds, counts: make([]atomic.Uint64, len(bounds)+1)}
+}
+
+// register shows the histogram in the usual form: buckets that count all
+// durations up to their bound.
+func (d *durations) register(name string) *durations {
+	for i, b := range d.bounds {
 		le := fmt.Sprintf(`%s_bucket{le="%g"}`, name, b.Seconds())
 		metrics.NewGauge(le, func() float64 { return float64(d.upTo(i)) })
 	}
-	last := len(bounds)
+	last := len(d.bounds)
 	metrics.NewGauge(name+`_bucket{le="+Inf"}`, func() float64 { return float64(d.upTo(last)) })
 	metrics.NewGauge(name+"_count", func() float64 { return float64(d.upTo(last)) })
 	metrics.NewGauge(name+"_sum", func() float64 { return time.Duration(d.sum.Load()).Seconds() })
--- a/internal/caller/metrics_test.go
+++ b/internal/caller/metrics_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestDurationsCountUpToEachBound(t *testing.T) {
-	d := newDurations("test_seconds", time.Millisecond, time.Second)
+	d := newDurations(time.Millisecond, time.Second)
 	for _, v := range []time.Duration{0, time.Millisecond, 2 * time.Millisecond, time.Minute} {
 		d.add(v)
 	}
