--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -176,7 +176,8 @@
 		return false
 	}
 	if refusal.Kind() == result.Unknown {
-		return t.request.idempotent && passing(refusal.Code) && t.server.budget.spend()
+		safe := t.request.idempotent || refusal.Code == result.OwnerLost && t.request.hasKey()
+		return safe && passing(refusal.Code) && t.server.budget.spend()
 	}
 	if settles(refusal.Code) {
 		return true
@@ -264,7 +265,7 @@
 	if t.mayHaveRun != nil {
 		return t.mayHaveRun
 	}
-	if v.Draining && refusal.Code != result.DeadlineBefore {
+	if v.Draining && (settles(refusal.Code) || passing(refusal.Code) || refusal.Code == result.WaitingFull) {
 		return result.Errorf(result.Draining, "The node is stopping and could not forward the request: %s", refusal.Message)
 	}
 	return refusal
