--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -40,8 +40,15 @@
 	// the accepting side only has to free it some time.
 	acceptedKeepalive = 15 * time.Second
 	acceptedWrite     = 5 * time.Second
-	trafficKeepalive  = time.Second
-	trafficWrite      = 2 * time.Second
+	// trafficWrite bounds writes and pings on traffic sessions. They are
+	// watched only while they carry requests; see watch.
+	trafficWrite  = time.Second
+	watchInterval = 500 * time.Millisecond
+	// trafficIdle closes a traffic session without requests.
+	trafficIdle = 5 * time.Minute
+	// tcpKeepalive lets the kernel end accepted connections whose peer has
+	// vanished.
+	tcpKeepalive = time.Minute
 	// idleTimeout closes a control session that carries no message.
 	idleTimeout = 60 * time.Second
 	// streamBacklog is how many streams of a session may wait to be accepted.
@@ -81,7 +88,7 @@
 	ref       atomic.Pointer[cluster.MemberRef]
 	onControl func(from cluster.MemberRef, m *wire.Control)
 	onStream  func(ctx context.Context, from cluster.MemberRef, conn net.Conn)
-	log       *limitedLog
+	log       hclog.Logger
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -107,7 +114,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Transport{
 		cfg: cfg, onControl: onControl, onStream: onStream,
-		log: newLimitedLog(cfg.Logger.Named("peer")), ctx: ctx, cancel: cancel,
+		log: cfg.Logger.Named("peer"), ctx: ctx, cancel: cancel,
 	}
 	t.SetSelf(cfg.Self)
 	return t
@@ -120,7 +127,8 @@
 
 // Listen binds the listener; Serve accepts on it.
 func (t *Transport) Listen() error {
-	ln, err := net.Listen("tcp", t.cfg.Listen)
+	lc := net.ListenConfig{KeepAlive: tcpKeepalive}
+	ln, err := lc.Listen(t.ctx, "tcp", t.cfg.Listen)
 	if err != nil {
 		return err
 	}
@@ -148,7 +156,7 @@
 			return err
 		}
 		if err != nil {
-			t.log.warn("accept failed", "error", err)
+			t.log.Warn("accept failed", "error", err)
 			time.Sleep(acceptPause)
 			continue
 		}
@@ -181,7 +189,7 @@
 	from, kind, err := t.welcome(conn)
 	if err != nil {
 		if !errors.Is(err, io.EOF) {
-			t.log.warn("session refused", "from", conn.RemoteAddr(), "error", err)
+			t.log.Warn("session refused", "from", conn.RemoteAddr(), "error", err)
 		}
 		return
 	}
@@ -206,18 +214,22 @@
 	if err != nil {
 		_ = conn.Close()
 		if errRefused.Has(err) {
-			t.log.warn("session refused by peer", "to", addr, "error", err)
+			t.log.Warn("session refused by peer", "to", addr, "error", err)
 		}
 		return nil, cluster.MemberRef{}, ErrUnreachable.Wrap(err)
 	}
 	return conn, to, nil
 }
 
-// sessionConfig returns the yamux settings of one side of a session.
+// sessionConfig returns the yamux settings of one side of a session; a
+// keepalive of 0 sends none.
 func sessionConfig(keepalive, write time.Duration) *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = streamBacklog
-	c.KeepAliveInterval = keepalive
+	c.EnableKeepAlive = keepalive > 0
+	if keepalive > 0 {
+		c.KeepAliveInterval = keepalive
+	}
 	c.ConnectionWriteTimeout = write
 	// The keepalive notices a peer that does not answer, without a goroutine
 	// and a timer for each stream.
