--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PATH := $(GOBIN):$(PATH)
 GO_FILES := $(shell git ls-files '*.go' 2>/dev/null)
 
-.PHONY: build test demo lint tools generate generated unit race spec bench prove
+.PHONY: build test demo lint tools generate generated unit fault race spec bench prove
 
 build:
 	go build -o bin/ ./cmd/... ./standin/...
@@ -25,7 +25,11 @@
 	git diff --exit-code -- internal/wire/wire.pb.go
 
 unit:
-	.ci/gotest -count=1 ./...
+	.ci/gotest -count=1 $$(go list ./... | grep -v /test/)
+
+# One package at a time: each starts a fleet of processes with time bounds.
+fault:
+	.ci/gotest -p 1 -count=1 ./test/...
 
 # The packages left out here start no goroutine; "unit" runs them.
 race:
@@ -34,7 +38,7 @@
 spec: tools
 	spec/check
 
-test: lint generated build unit race spec
+test: lint generated build unit race spec fault
 
 # The driver is started as a program of its own, so that a signal to make
 # reaches it and it ends the fleet.
