Wire the idempotency limits, the platform budget and limit events

Cause: settings.limits.idempotency_*, platform.Share and the limit events had no effect in a running node, and status did not say how long a peer is silent.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -132,6 +132,23 @@
 	return slices.IndexFunc(m.controllers(service), func(p *cluster.Member) bool { return p.MemberRef == m.self })
 }
 
+// controllerRanks is how many nodes, best first, may have to place what was
+// lost: the first one and those that act if it does not.
+const controllerRanks = 2
+
+// Controls reports whether this node may have to act as a controller.
+func (m *Machine) Controls() bool {
+	if m.config == nil {
+		return false
+	}
+	for name, s := range m.config.Services {
+		if rank := m.controllerRank(name); s.DividedByKey && rank >= 0 && rank < controllerRanks {
+			return true
+		}
+	}
+	return false
+}
+
 // createGroups writes the placement objects of a new service. It reports
 // whether any is missing.
 func (m *Machine) createGroups(s config.Service, rank int) bool {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -58,6 +58,7 @@
 	objects map[string]stored
 	digest  uint64
 	members map[string]*cluster.Member
+	heardAt map[string]clock.Mono
 	groups  map[string]*cluster.Group
 	gone    map[cluster.MemberRef]clock.Mono
 	derived derived
@@ -112,6 +113,7 @@
 		params:    p,
 		objects:   map[string]stored{},
 		members:   map[string]*cluster.Member{},
+		heardAt:   map[string]clock.Mono{},
 		groups:    map[string]*cluster.Group{},
 		gone:      map[cluster.MemberRef]clock.Mono{},
 		maxTime:   map[string]time.Duration{},
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -13,6 +13,9 @@
 // this one can't answer for it.
 func (m *Machine) message(c *wire.Control) {
 	from := cluster.MemberRef{Name: c.GetFromName(), Incarnation: c.GetFromIncarnation()}
+	if m.members[from.Name] != nil {
+		m.heardAt[from.Name] = m.now
+	}
 	if m.phase != phaseJoined {
 		m.objectMessage(from, c)
 		return
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -16,7 +16,7 @@
 	watchersPerZone = 2
 	// headEvery is the time between two reads of the configuration's head by
 	// a watcher, since a watch may skip.
-	headEvery = time.Second
+	headEvery = 1500 * time.Millisecond
 	// listEvery is the time between two full lists by a watcher.
 	listEvery = 2 * time.Minute
 )
@@ -115,6 +115,8 @@
 	Watching      bool
 	Draining      bool
 	DrainInFlight int
+	// Silent is the time since each peer that speaks to this node was heard.
+	Silent map[string]time.Duration
 }
 
 var phaseNames = map[phase]string{
@@ -140,6 +142,10 @@
 		Watching:      m.watching,
 		Draining:      m.own.drain,
 		DrainInFlight: m.own.inFlight,
+		Silent:        map[string]time.Duration{},
+	}
+	for name, at := range m.heardAt {
+		s.Silent[name] = m.now.Sub(at)
 	}
 	for u, cur := range m.units.own {
 		s.countUnit(u, cur.state)
--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/config"
 	"fulmarhinge/internal/control"
 	"fulmarhinge/internal/limit"
 	"fulmarhinge/internal/result"
+	"fulmarhinge/internal/timeline"
 	"fulmarhinge/internal/view"
 )
 
@@ -20,6 +23,8 @@
 	current atomic.Pointer[limit.Admitter]
 	config  *config.Config
 	urgent  <-chan struct{}
+	// noted holds when each customer's limits were last recorded.
+	noted sync.Map
 }
 
 // Admit asks the present manager. Before the node has joined there is none.
@@ -28,7 +33,34 @@
 	if a == nil {
 		return nil, result.New(result.NotAdmitting)
 	}
-	return (*a).Admit(ctx, customer, service)
+	done, refusal := (*a).Admit(ctx, customer, service)
+	if refusal != nil {
+		l.note(customer, refusal)
+	}
+	return done, refusal
+}
+
+// noteEvery is the least time between two events about one customer's limits.
+const noteEvery = 10 * time.Second
+
+// note records that a customer meets its limits, once in a while.
+func (l *limits) note(customer string, refusal *result.Error) {
+	v := l.loop.node.source.Current()
+	if v == nil || v.Config == nil {
+		return
+	}
+	if _, known := v.Config.Contracts[customer]; !known {
+		// Names that callers make up must not fill the memory.
+		return
+	}
+	now := time.Now()
+	last, known := l.noted.LoadOrStore(customer, now)
+	if known && (now.Sub(last.(time.Time)) < noteEvery || !l.noted.CompareAndSwap(customer, last, now)) {
+		return
+	}
+	l.loop.node.ring.Add(timeline.Event{
+		Kind: timeline.KindLimit, Customer: customer, Text: "requests are refused: " + refusal.Error(),
+	})
 }
 
 // joined starts anew with an incarnation: what an earlier one was leased stays
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -7,6 +7,7 @@
 	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/control"
+	"fulmarhinge/internal/platform"
 	"fulmarhinge/internal/timeline"
 	"fulmarhinge/internal/wire"
 )
@@ -153,6 +154,7 @@
 	}
 	if r.View != nil {
 		l.limits.follow(r.View)
+		l.node.store.SetBudget(platform.Share(len(r.View.Members), l.machine.Controls()))
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,7 +37,7 @@
 type Node struct {
 	settings *settings.Settings
 	log      hclog.Logger
-	store    platform.Store
+	store    *platform.Client
 	source   *view.Source
 	ring     *timeline.Ring
 	stamps   *timeline.Clock
@@ -78,6 +78,10 @@
 	n.stamps = timeline.NewClock(time.Now)
 	n.ring = timeline.NewRing(cluster.MemberRef{Name: s.Name}, ringEvents, n.stamps)
 	n.gate = backend.NewGate(n.source, log)
+	n.gate.SetIdempotency(backend.IdempotencyLimits{
+		Entries: s.Limits.IdempotencyEntries,
+		Age:     s.Limits.IdempotencyAge.D(),
+	})
 	n.peers = peer.New(peer.Config{
 		Fleet: s.Fleet, Self: cluster.MemberRef{Name: s.Name},
 		Listen: s.Peer.Listen, DialFrom: s.Peer.DialFrom, Logger: log,
