--- a/internal/backend/loads.go
+++ b/internal/backend/loads.go
@@ -109,6 +109,9 @@
 	l.units.Range(func(u, c any) bool {
 		n := c.(*atomic.Uint64).Swap(0)
 		if n == 0 {
+			// A request that is counted at this very moment is missed; the
+			// counts are estimates.
+			l.units.Delete(u)
 			return true
 		}
 		out.Total += n
--- a/internal/backend/slots_test.go
+++ b/internal/backend/slots_test.go
@@ -87,3 +87,19 @@
 		t.Fatal("counts were not started anew")
 	}
 }
+
+// Pins come and go, so a unit without requests is forgotten.
+func TestLoadsForgetUnitsWithoutRequests(t *testing.T) {
+	l := newLoads()
+	for i := range 1000 {
+		key := fmt.Sprint(i)
+		l.add(keyUnit(testUnit, key), key)
+	}
+	l.take()
+	l.take()
+	left := 0
+	l.units.Range(func(any, any) bool { left++; return true })
+	if left != 0 {
+		t.Fatalf("%d units are kept without requests", left)
+	}
+}
