--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -129,11 +129,20 @@
 		return refusal
 	}
 	t.answer.owner = m.CallerAddr
-	t.answer.load = t.server.pool.load(m.MemberRef)
+	if t.request.service.DividedByKey {
+		return t.server.attempt(ctx, v, t, unit, m)
+	}
+	return t.measured(ctx, v, m)
+}
+
+// measured makes an attempt at a member that was picked by its load, and
+// records what was seen of it.
+func (t *attempts) measured(ctx context.Context, v *view.View, m *cluster.Member) *result.Error {
+	l := t.server.pool.load(m.MemberRef)
+	t.answer.load = l
 	began := time.Now()
-	l := t.answer.load
 	l.begin(began)
-	refusal = t.server.attempt(ctx, v, t, unit, m)
+	refusal := t.server.attempt(ctx, v, t, cluster.Unit{}, m)
 	l.end()
 	switch {
 	case refusal == nil:
