--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -84,6 +84,7 @@
 		{"metrics", &fakeNode{}, "GET", PathMetrics, "", 200, "process_"},
 		{"metrics of the status", &fakeNode{}, "GET", PathMetrics, "", 200, "fulmarhinge_revision_in_force 3"},
 		{"status", &fakeNode{}, "GET", PathStatus, "", 200, `"revision_in_force":3`},
+		{"status without members", &fakeNode{}, "GET", PathStatus, "", 200, `"members":[]`},
 		{"events of a key", &fakeNode{}, "GET", PathEvents + "?key=k", "", 200, `"text":"one"`},
 		{"unknown filter", &fakeNode{}, "GET", PathEvents + "?kee=k", "", 400, "kee"},
 		{"bad time", &fakeNode{}, "GET", PathEvents + "?after=now", "", 400, "expected a time"},
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/timeline"
 )
 
@@ -138,7 +139,11 @@
 }
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, s.deps.Status())
+	status := s.deps.Status()
+	// Scripts get empty lists, not null.
+	status.Witnesses = append([]cluster.MemberRef{}, status.Witnesses...)
+	status.Members = append([]MemberRow{}, status.Members...)
+	writeJSON(w, http.StatusOK, status)
 }
 
 func (s *Server) events(w http.ResponseWriter, r *http.Request) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -172,3 +172,21 @@
 	}
 	return "`" + text + "`"
 }
+
+// FuzzParse checks that no file crashes the parser, and that every refusal
+// names what is wrong.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	for _, seed := range []string{"", "null", "[]", "{", `{"lease": {"promise": "1e9h"}}`, `{"platform": {"urls": [null]}}`, `{"zone": "\ud800"}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, file []byte) {
+		s, err := Parse(file)
+		if (s == nil) == (err == nil) {
+			t.Fatalf("settings %v with error %v", s, err)
+		}
+		if err != nil && err.Error() == "" {
+			t.Fatal("an error without a text")
+		}
+	})
+}
