--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -53,6 +53,9 @@
 		return err
 	}
 	err = d.runSteps()
+	if err != nil {
+		d.saveTimeline()
+	}
 	if endErr := d.end(); err == nil {
 		err = endErr
 	}
--- a/test/demo/show.go
+++ b/test/demo/show.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 
 	"fulmarhinge/test/fault/harness"
@@ -40,6 +42,21 @@
 	return nil
 }
 
+// saveTimeline keeps the merged time line beside the logs, as the nodes' own
+// memory of it ends with them.
+func (d *demo) saveTimeline() {
+	if d.fleet == nil {
+		return
+	}
+	line, _, err := d.cli.run("timeline")
+	if err == nil {
+		err = os.WriteFile(filepath.Join(d.dir, "timeline.txt"), []byte(line), 0o644)
+	}
+	if err != nil {
+		fmt.Println("demo: the time line could not be kept:", err)
+	}
+}
+
 // indent indents the last lines of a text, all of them if most is negative.
 func indent(text string, most int) string {
 	lines := strings.Split(strings.TrimRight(text, "\n"), "\n")
