Test that a part above the platform's limit is refused as not valid

Cause: the bound of 1 MB on a part was checked in code but by no test. Nothing is written then; half of the contracts are accepted. Passes as the code is.

--- a/internal/config/layout_test.go
+++ b/internal/config/layout_test.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 
 	"fulmarhinge/internal/cluster"
@@ -75,3 +77,25 @@
 		t.Errorf("head has %d bytes, expected at most %d", len(o.Value), limit)
 	}
 }
+
+func TestPartAboveThePlatformsLimitIsInvalid(t *testing.T) {
+	m := platform.NewMemory()
+	e := quickEditor(m)
+	// Few customers of long names fill one bucket beyond the limit.
+	var edits []Edit
+	for i, size := 0, 0; size <= platform.MaxValueBytes; i++ {
+		ct := contractOf(fmt.Sprintf("%0128d", i), 1)
+		if ContractPart(ct.Customer) == "contracts-00" {
+			edits = append(edits, Contracts.Set(0, ct))
+			size += len(cluster.Encode(ct))
+		}
+	}
+	_, err := e.Apply(t.Context(), AnyRevision, All(edits...))
+	if !ErrInvalid.Has(err) || !strings.Contains(err.Error(), "part contracts-00") {
+		t.Fatalf("error %v, expected an invalid part", err)
+	}
+	if n := partObjects(t, m); n != 0 {
+		t.Errorf("%d parts were written", n)
+	}
+	mustApply(t, e, All(edits[:len(edits)/2]...))
+}
