--- /dev/null
+++ b/internal/control/renew.go
@@ -0,0 +1,74 @@
+package control
+
+import (
+	"slices"
+
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/timeline"
+	"fulmarhinge/internal/wire"
+)
+
+// allWitnesses returns each witness of any set once.
+func (m *Machine) allWitnesses() []cluster.Witness {
+	present := m.members[m.self.Name]
+	if present == nil {
+		return nil
+	}
+	all := slices.Clone(present.Witnesses)
+	for _, s := range m.own.pendingSets {
+		for _, w := range s {
+			if !slices.Contains(all, w) {
+				all = append(all, w)
+			}
+		}
+	}
+	return all
+}
+
+// renewIfDue sends a round of renewals.
+func (m *Machine) renewIfDue() {
+	if m.phase != phaseJoined || m.nextRenew > m.now {
+		return
+	}
+	m.nextRenew = m.now.Add(m.params.Lease.Renew)
+	seq := m.holder.Begin(m.now)
+	for _, w := range m.allWitnesses() {
+		m.sendRenew(w, seq)
+	}
+}
+
+func (m *Machine) sendRenew(w cluster.Witness, seq uint64) {
+	m.send(w.MemberRef, w.PeerAddr, &wire.Control{Body: &wire.Control_Renew{Renew: &wire.Renew{
+		Seq:            seq,
+		Heard:          m.holder.Heard(w.MemberRef),
+		PromiseMs:      uint64(m.params.Lease.Promise.Milliseconds()),
+		ConfigRevision: m.revision(),
+		Digest:         m.digest,
+	}}})
+}
+
+// checkOwnLease notes when the lease begins and ends. A node whose lease has
+// ended reads its own object, since it may have been evicted meanwhile.
+func (m *Machine) checkOwnLease() {
+	if m.phase != phaseJoined {
+		return
+	}
+	leased := m.leased()
+	if leased != m.own.hadLease {
+		m.own.hadLease = leased
+		ref := m.self
+		text := "lease lapsed"
+		if leased {
+			text = "lease held"
+			m.own.rejoins = 0
+		}
+		m.event(timeline.Event{Kind: timeline.KindLease, Member: &ref, Text: text})
+	}
+	if leased && !m.own.leasedOnce {
+		m.own.leasedOnce = true
+		m.reconcileSelf()
+	}
+	if !leased {
+		m.read(cluster.MemberKey(m.self.Name))
+	}
+}
