--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -9,7 +9,6 @@
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/lease"
 	"fulmarhinge/internal/timeline"
-	"fulmarhinge/internal/wire"
 )
 
 // Waits of a node's own membership.
