Bound the writes that follow the loss of a zone

Cause: worked out for 50 nodes of 1,200: their leases lapse over one renewal period (0.7 s), and a placement update every 60 to 80 ms would write up to 75 objects nine times, beyond what the platform takes and what the budget of a controller lets through in 3 s; 250 holders would change their sets at once.

Change: after an update the next one waits 350 ms; holders with a full set spread the change over 1 s; a controller's burst is 256 writes.

Ruled out: a longer first wait, which every single loss would pay.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -16,6 +16,12 @@
 const (
 	// forcedWait lets losses that come together be handled in one update.
 	forcedWait = 60 * time.Millisecond
+	// moreWait takes its place for moreWithin after an update. The leases of a
+	// lost zone's nodes lapse over a whole renewal period; writing every
+	// placement object for each few of them would be more than the platform
+	// takes.
+	moreWait   = 350 * time.Millisecond
+	moreWithin = 2 * time.Second
 	// rankWait is how much longer each next node in rank waits before it does
 	// what the one before it has left undone.
 	rankWait = 350 * time.Millisecond
@@ -35,8 +41,10 @@
 	// workSince is when forced work was first seen; 0 if there is none.
 	workSince clock.Mono
 	// forced is whether any unit must move in the state of checked.
-	forced      bool
-	checked     planRev
+	forced  bool
+	checked planRev
+	// placedAt is when forced work was last carried out here.
+	placedAt    clock.Mono
 	nextBalance clock.Mono
 	nextReport  clock.Mono
 	reports     map[string]loadReport
@@ -92,8 +100,13 @@
 	if c.workSince == 0 {
 		c.workSince = m.now
 	}
-	wait := forcedWait + time.Duration(rank)*rankWait
-	if c.workSince.Add(wait) <= m.now {
+	wait := forcedWait
+	if c.placedAt > 0 && c.placedAt.Add(moreWithin) > m.now {
+		wait = moreWait
+	}
+	if c.workSince.Add(wait+time.Duration(rank)*rankWait) <= m.now {
+		c.workSince = 0
+		c.placedAt = m.now
 		in := m.planInput(s)
 		in.MaxMoves = 0
 		m.carryOut(s, placement.Plan(in))
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -19,6 +19,9 @@
 	selfRetry = 300 * time.Millisecond
 	// maxRejoinWait bounds the growing wait between rejoins.
 	maxRejoinWait = 10 * time.Second
+	// setSpread is the time over which the members that lost the same witness
+	// name another. A full set stands one more loss meanwhile.
+	setSpread = time.Second
 	// rescueEvery bounds how often silent witnesses are replaced.
 	rescueEvery = 5 * time.Second
 )
@@ -154,6 +157,18 @@
 	return m.own.chosen
 }
 
+// delaySetChange spreads the writes that follow the loss of a witness.
+func (m *Machine) delaySetChange(lost cluster.MemberRef) {
+	present := m.members[m.self.Name]
+	if present == nil || len(present.Witnesses) < m.params.Witnesses {
+		return
+	}
+	if slices.ContainsFunc(present.Witnesses, func(w cluster.Witness) bool { return w.MemberRef == lost }) {
+		jitter := time.Duration(cluster.Rank("set", m.self.Name) % uint64(setSpread))
+		m.own.setAt = max(m.own.setAt, m.now.Add(jitter))
+	}
+}
+
 // choice is what a chosen set depends on.
 type choice struct {
 	members  uint64
--- a/internal/control/objects.go
+++ b/internal/control/objects.go
@@ -166,6 +166,7 @@
 		return
 	}
 	m.gone[ref] = m.now
+	m.delaySetChange(ref)
 	m.witness.Forget(ref)
 	delete(m.evictions, ref.Name)
 	m.event(timeline.Event{Kind: timeline.KindMember, Member: &ref, Text: "member is gone"})
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -25,7 +25,7 @@
 	nodeWriteBurst = 8
 	// controllerWriteBurst lets a controller place what an availability zone
 	// owned.
-	controllerWriteBurst = 128
+	controllerWriteBurst = 256
 )
 
 // Rate is a number of calls a second, and how many may come at once.
