Measure the time to an answer's start, not to its end

The latency that decides between backend servers covered the whole download, so a file service's large answers made a server look slow, and a single long one made it look frozen.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -35,6 +35,8 @@
 	// closing is true if the connection ends after this answer.
 	closing bool
 	load    *load
+	// sent is when the present attempt began.
+	sent time.Time
 
 	// code is the result that the request ended with, once it is known.
 	code    result.Code
@@ -57,7 +59,9 @@
 	a.started = true
 	a.length = h.GetContentLength()
 	if a.load != nil {
-		a.load.report(h.GetInFlight(), time.Now())
+		now := time.Now()
+		a.load.report(h.GetInFlight(), now)
+		a.load.succeeded(now.Sub(a.sent), now)
 	}
 	header.Apply(a.w.Header(), h.GetHeaders())
 	a.stamp(result.OK)
@@ -92,6 +96,9 @@
 // Write implements backend.ResponseSink. A piece that does not end an answer
 // of known length is sent on at once, so that a slow answer is not held back.
 func (a *answer) Write(p []byte) (int, error) {
+	if a.load != nil {
+		a.load.advance(time.Now())
+	}
 	if a.method == http.MethodHead {
 		return len(p), nil
 	}
--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -33,12 +33,13 @@
 	// reported is from the last answer's head, at reportedAt.
 	reported   atomic.Int64
 	reportedAt atomic.Int64
-	// latency is an average in nanoseconds; 0 before the first answer.
+	// latency is an average in nanoseconds of the time to the start of an
+	// answer, so that long downloads don't count as slow; 0 before the first.
 	latency atomic.Int64
-	// progress is when the last answer ended, or when the first of the
-	// requests under way was sent if that was later.
+	// progress is when the last byte of an answer came, or when the first of
+	// the requests under way was sent if that was later.
 	progress atomic.Int64
-	// answered counts answers.
+	// answered counts answers that have begun.
 	answered atomic.Int64
 	// failures in a row, and until when the server is passed over.
 	failures atomic.Int64
@@ -211,10 +212,13 @@
 // end uncounts a request.
 func (l *load) end() { l.own.Add(-1) }
 
-// succeeded records an answer.
+// advance records that bytes of an answer came.
+func (l *load) advance(now time.Time) { l.progress.Store(now.UnixNano()) }
+
+// succeeded records the start of an answer.
 func (l *load) succeeded(took time.Duration, now time.Time) {
 	l.answered.Add(1)
-	l.progress.Store(now.UnixNano())
+	l.advance(now)
 	l.failures.Store(0)
 	l.avoid.Store(0)
 	old := l.latency.Load()
--- a/internal/caller/pool_test.go
+++ b/internal/caller/pool_test.go
@@ -109,3 +109,20 @@
 		t.Fatalf("%d retries for 1000 requests", allowed)
 	}
 }
+
+// A long download is no sign of a slow or frozen backend server.
+func TestLongDownloadDoesNotCountAsSlow(t *testing.T) {
+	l := &load{}
+	now := time.Unix(1000, 0)
+	l.begin(now)
+	l.succeeded(time.Millisecond, now.Add(time.Millisecond))
+	usual := l.expected(now.Add(time.Millisecond))
+	later := now.Add(time.Minute)
+	l.advance(later)
+	if got := l.expected(later); got != usual {
+		t.Fatalf("expected latency %v during a download, %v before", got, usual)
+	}
+	if got := l.expected(later.Add(time.Second)); got < float64(time.Second) {
+		t.Fatalf("expected latency %v after a second without a byte", got)
+	}
+}
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -140,14 +140,11 @@
 func (t *attempts) measured(ctx context.Context, v *view.View, m *cluster.Member) *result.Error {
 	l := t.server.pool.load(m.MemberRef)
 	t.answer.load = l
-	began := time.Now()
-	l.begin(began)
+	t.answer.sent = time.Now()
+	l.begin(t.answer.sent)
 	refusal := t.server.attempt(ctx, v, t, cluster.Unit{}, m)
 	l.end()
-	switch {
-	case refusal == nil:
-		l.succeeded(time.Since(began), time.Now())
-	case blamesServer(refusal.Code):
+	if refusal != nil && blamesServer(refusal.Code) {
 		l.failed(time.Now())
 		t.tried[m.Name] = true
 	}
