Fill the head in one change in the test of its size

Cause: 400 single changes took most of the package's time under the race detector (50 s on a busy machine).

--- a/internal/config/layout_test.go
+++ b/internal/config/layout_test.go
@@ -65,13 +65,23 @@
 func TestHeadSizeStaysSmall(t *testing.T) {
 	m := platform.NewMemory()
 	e := quickEditor(m)
+	// Enough contracts for each bucket, then enough changes to fill what the head
+	// remembers of earlier ones.
+	var edits []Edit
 	for i := range 400 {
+		edits = append(edits, Contracts.Set(0, contractOf(newChangeID(), float64(i+1))))
+	}
+	mustApply(t, e, All(edits...))
+	for i := range 2 * keepSuperseded {
 		mustApply(t, e, Contracts.Set(0, contractOf(newChangeID(), float64(i+1))))
 	}
 	o, err := m.Get(t.Context(), cluster.ConfigHeadKey)
 	if err != nil {
 		t.Fatal(err)
 	}
+	if n := len(mustLoad(t, e).Head.Parts); n != ContractBuckets {
+		t.Fatalf("%d parts, expected each of %d buckets", n, ContractBuckets)
+	}
 	t.Logf("head of %d parts: %d bytes", len(mustLoad(t, e).Head.Parts), len(o.Value))
 	if limit := 16 << 10; len(o.Value) > limit {
 		t.Errorf("head has %d bytes, expected at most %d", len(o.Value), limit)
