--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PATH := $(GOBIN):$(PATH)
 GO_FILES := $(shell git ls-files '*.go' 2>/dev/null)
 
-.PHONY: build test demo lint tools generate generated unit fault race spec bench prove
+.PHONY: build test demo lint tools generate generated unit fault race fuzz spec bench prove
 
 build:
 	go build -o bin/ ./cmd/... ./standin/...
@@ -38,7 +38,7 @@
 spec: tools
 	spec/check
 
-test: lint generated build unit race spec fault
+test: lint generated build unit race fuzz spec fault
 
 # The driver is started as a program of its own, so that a signal to make
 # reaches it and it ends the fleet.
@@ -57,3 +57,9 @@
 # Runs the command behind each row of docs/PROOFS.md.
 prove: tools
 	.ci/prove
+
+# Looks for new inputs beyond the committed corpora, which "unit" runs.
+fuzz:
+	go test ./internal/peer -run '^$$' -fuzz FuzzControl -fuzztime 5s
+	go test ./internal/peer -run '^$$' -fuzz FuzzFrames -fuzztime 5s
+	go test ./internal/backend -run '^$$' -fuzz FuzzServeStream -fuzztime 5s
