--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -45,7 +45,7 @@
 	if m.head.Revision == 0 || m.revision() == m.head.Revision {
 		return nil
 	}
-	cfg, missing, err := config.Assemble(m.head, m.objectValue)
+	cfg, missing, err := m.assembler.Assemble(m.head, m.objectValue)
 	if err != nil || len(missing) > 0 {
 		m.seekParts(missing)
 		return missing
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -66,6 +66,8 @@
 	memberRev uint64
 	placeRev  uint64
 	config    *config.Config
+	// assembler keeps the decoded parts of the revision in force.
+	assembler *config.Assembler
 	head      config.Head
 	headAt    clock.Mono
 	// known is the newest revision that anybody has named, knownAt since when.
@@ -114,6 +116,7 @@
 		objects:   map[string]stored{},
 		members:   map[string]*cluster.Member{},
 		heardAt:   map[string]clock.Mono{},
+		assembler: config.NewAssembler(),
 		groups:    map[string]*cluster.Group{},
 		gone:      map[cluster.MemberRef]clock.Mono{},
 		maxTime:   map[string]time.Duration{},
--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -16,8 +16,6 @@
 const (
 	// maxCalls is how many calls may be on their way at a time.
 	maxCalls = 64
-	// watchRetry is the wait before a broken watch is opened again.
-	watchRetry = 500 * time.Millisecond
 )
 
 // platformIO carries out what the machine asks of the platform, and posts the
@@ -85,7 +83,7 @@
 		return control.Applied
 	case platform.ErrConflict.Has(err):
 		return control.Conflict
-	case platform.ErrUnavailable.Has(err):
+	case platform.ErrUnavailable.Has(err), platform.ErrTooLarge.Has(err):
 		return control.NotApplied
 	default:
 		return control.OutcomeUnknown
@@ -131,8 +129,10 @@
 }
 
 func (p *platformIO) keepWatching(ctx context.Context) {
-	for ctx.Err() == nil {
+	backoff := platform.DefaultBackoff()
+	for failures := 1; ctx.Err() == nil; failures++ {
 		err := p.store.Watch(ctx, "", p.relist, func(o platform.Object) {
+			failures = 0
 			p.answered.Store(time.Now().UnixNano())
 			p.post(control.Observed{Objects: []platform.Object{o}})
 		})
@@ -140,10 +140,7 @@
 			return
 		}
 		p.log.Warn("watch broke", "error", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(watchRetry):
-		}
+		_ = backoff.Sleep(ctx, max(failures, 1))
 	}
 }
 
