Pass on the answer when a unit's epoch rises under its owner

Dissolving a pin raises the epoch of its shard; the owner stays. The gate took that for a lost ownership and cut the answers of all requests in flight on the shard as of unknown outcome (3004). The count of requests in flight already keeps a planned move from ending the ownership, so what is left to check is the lease and that the incarnation is the same.

The test fails before: answer "", code 3004.

--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -253,6 +253,7 @@
 	}
 	r.unit = u
 	r.epoch = owned.Epoch
+	r.owner = v.Self
 	return view.Serving, nil
 }
 
--- a/internal/backend/gate_test.go
+++ b/internal/backend/gate_test.go
@@ -181,6 +181,18 @@
 }
 
 // A dispatch is checked after the connection was made, however long that took.
+// A pin that is dissolved raises the epoch of its shard under the same owner.
+func TestEpochThatRisesDuringTheRunCutsNoAnswer(t *testing.T) {
+	var g *gateTest
+	g = newGateTest(t, func(w http.ResponseWriter, _ *http.Request) {
+		g.publish(view.Serving, 8)
+		fmt.Fprint(w, "whole")
+	})
+	if s, err := g.do(post("r")); err != nil || s.body.String() != "whole" {
+		t.Fatalf("answer %q, %v", s.body.String(), err)
+	}
+}
+
 func TestLeaseIsCheckedInFrontOfTheFirstByte(t *testing.T) {
 	g := newGateTest(t, func(http.ResponseWriter, *http.Request) {})
 	r := &run{gate: g.Gate, head: post("r"), sink: &memorySink{}, keyed: true}
--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -50,6 +50,8 @@
 	keyed bool
 	unit  cluster.Unit
 	epoch uint64
+	// owner is this node's incarnation when the request was let in.
+	owner cluster.MemberRef
 
 	stage atomic.Int32
 	// conn is the connection that the request was dispatched on.
@@ -214,15 +216,16 @@
 	return nil
 }
 
-// stillOwner reports whether the lease and the epoch under which the request
-// was dispatched still hold. The count of requests in flight keeps a planned
-// move from ending the ownership meanwhile; a pause of the process does not.
+// stillOwner reports whether the ownership under which the request was
+// dispatched has lasted. The count of requests in flight keeps a planned move
+// from ending it meanwhile, also if the unit's epoch rises under this owner, as
+// when a pin is dissolved. A pause of the process may end it: then the lease
+// has lapsed, or the node has joined again under another incarnation.
 func (r *run) stillOwner() bool {
 	if !r.keyed {
 		return true
 	}
-	owned, ok := r.gate.src.Current().Owned[r.unit]
-	return ok && owned.Epoch == r.epoch && r.gate.src.LeaseValid()
+	return r.gate.src.Current().Self == r.owner && r.gate.src.LeaseValid()
 }
 
 // answer passes a whole answer on.
