Release skipped epochs, end the lease before leaving, wait out drift

Found by comparing the control step with spec/handover.pml.

A node that lost a unit, got it back and lost it again, and saw only the last placement, released the first epoch alone. A node that leaves kept its lease until it learned that its write had taken effect. The wait for old deadlines ran on this node's clock without the drift bound. No test: the harness drifts by less than its step over such a wait.

internal/control and internal/backend tests pass.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -318,7 +318,10 @@
 		m.gone[ref] = m.now
 		at = m.now
 	}
-	return at.Add(m.maxTime[service]) <= m.now
+	// The deadlines run on other clocks, which may be slower than this one.
+	wait := m.maxTime[service]
+	wait += wait * time.Duration(m.params.Lease.DriftPercent) / 100
+	return at.Add(wait) <= m.now
 }
 
 // reportPeriod is the time between two load reports of one node.
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -206,9 +206,11 @@
 	return r
 }
 
-// leaseUntil returns until when this node may dispatch.
+// leaseUntil returns until when this node may dispatch. A node that leaves ends
+// its lease before it writes that it left: the write may take effect long
+// before its answer arrives, and from then on others take its units at once.
 func (m *Machine) leaseUntil() clock.Mono {
-	if m.phase != phaseJoined {
+	if m.phase != phaseJoined || m.own.left {
 		return 0
 	}
 	return m.holder.Until()
--- a/internal/control/units.go
+++ b/internal/control/units.go
@@ -191,11 +191,18 @@
 	if cur == nil || cur.state != view.Stopping || cur.epoch != e.Epoch {
 		return
 	}
+	// The placement may wait for a later ownership of this node that it never
+	// saw: it skipped an epoch. Serving nothing, it releases that one as well.
+	epoch := cur.epoch
+	if a := m.assignment(e.Unit); a != nil {
+		waited, _ := predecessorEpoch(a, m.self)
+		epoch = max(epoch, waited)
+	}
 	delete(m.units.own, e.Unit)
 	delete(m.units.heard, e.Unit)
-	m.units.released[e.Unit] = &release{epoch: cur.epoch, next: m.now}
+	m.units.released[e.Unit] = &release{epoch: epoch, next: m.now}
 	m.dirty = true
-	m.unitEvent(timeline.KindMove, e.Unit, cur.epoch, "unit released")
+	m.unitEvent(timeline.KindMove, e.Unit, epoch, "unit released")
 	m.sendRelease(e.Unit, m.units.released[e.Unit])
 }
 
