Hold up a shard's release for requests of a dissolved pin

A key that returns from its pin to its shard may still have requests in flight that came in through the pin. The shard's count left them out, so the shard could be released, and its next owner serve the key, while they ran.

Ruled out: counting requests of a held pin with the shard, as a busy pin would then hold up the shard for good. Pins are counted under the locks of their keys; a shard's count looks through all of them, but only while it is being released.

The test fails before: 0 in flight for a pin handed over, dissolved and pinned again; the tests of internal/backend pass with the race detector.

--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -78,10 +78,27 @@
 }
 
 // InFlight returns the requests of a unit that are inside the gate. For a unit
-// with a key it counts the key's requests whichever way they were located.
+// with a key it counts the key's requests whichever way they were located. For
+// a shard it includes those that came in through a pin that was dissolved or
+// lost since: their key is the shard's again, or was for a while.
 // Once it is zero after a view without the unit's Serving state was published,
 // no request of the unit can reach the backend server any more.
-func (g *Gate) InFlight(u cluster.Unit) int { return g.count.count(u) }
+func (g *Gate) InFlight(u cluster.Unit) int {
+	// A request through a pin is counted with the shard until it is counted
+	// with the pin's epoch, so the shard's count is read first.
+	n := g.count.count(u)
+	if u.Key == "" {
+		n += g.count.strays(u, g.holdsPin)
+	}
+	return n
+}
+
+// holdsPin reports whether this node still holds a pin at the epoch at which
+// requests came in through it.
+func (g *Gate) holdsPin(a admission) bool {
+	owned, ok := g.src.Current().Owned[a.pin]
+	return ok && owned.Epoch == a.epoch && owned.State != view.Stopping
+}
 
 // Total returns all requests inside the gate.
 func (g *Gate) Total() int { return int(g.count.total.Load()) }
@@ -116,7 +133,7 @@
 	if !r.keyed {
 		return
 	}
-	done := func() { g.count.add(r.unit, r.head.GetKey(), -1) }
+	done := func() { g.uncount(r) }
 	deadline, ok := ctx.Deadline()
 	if ok && r.abandoned {
 		time.AfterFunc(time.Until(deadline), done)
@@ -173,7 +190,7 @@
 	r.server = g.server.Load()
 	if refusal := r.server.check(svc); refusal != nil {
 		if r.keyed {
-			g.count.add(r.unit, r.head.GetKey(), -1)
+			g.uncount(r)
 		}
 		return refusal
 	}
@@ -220,6 +237,10 @@
 		return 0, result.New(result.NoOwner)
 	}
 	g.count.add(unit, key, 1)
+	if unit.Key != "" {
+		g.count.shard(unit).Add(1)
+		defer g.count.shard(unit).Add(-1)
+	}
 	v := g.src.Current()
 	now, assigned, ok := v.Locate(r.head.GetService(), key)
 	refusal := result.New(result.Moved)
@@ -231,10 +252,21 @@
 		g.count.add(unit, key, -1)
 		return state, refusal
 	}
+	if unit.Key != "" {
+		g.count.addPinned(unit, r.epoch, 1)
+	}
 	g.loads.add(unit, key)
 	return state, nil
 }
 
+// uncount ends the count of a request that was let in.
+func (g *Gate) uncount(r *run) {
+	if r.unit.Key != "" {
+		g.count.addPinned(r.unit, r.epoch, -1)
+	}
+	g.count.add(r.unit, r.head.GetKey(), -1)
+}
+
 // judge says what the view and the lease allow for a unit.
 func (g *Gate) judge(v *view.View, u cluster.Unit, assigned cluster.Assignment, r *run) (view.UnitState, *result.Error) {
 	owned, ok := v.Owned[u]
--- a/internal/backend/gate_test.go
+++ b/internal/backend/gate_test.go
@@ -283,6 +283,54 @@
 	}
 }
 
+// publishPin makes a view in which key k is pinned at an epoch, or not if it is
+// 0, and the shard is stopping.
+func (g *gateTest) publishPin(epoch uint64, state view.UnitState) {
+	v := *g.src.Current()
+	self := cluster.MemberRef{Name: "n", Incarnation: 1}
+	table := &view.Table{Shards: v.Tables["painel"].Shards, Pins: map[string]cluster.Pin{}}
+	v.Owned = map[cluster.Unit]view.Owned{testUnit: {State: view.Stopping, Epoch: 7}}
+	if epoch > 0 {
+		table.Pins["k"] = cluster.Pin{Key: "k", Assignment: cluster.Assignment{Owner: self, Epoch: epoch}}
+		v.Owned[cluster.Unit{Service: "painel", Key: "k"}] = view.Owned{State: state, Epoch: epoch}
+	}
+	v.Tables = map[string]*view.Table{"painel": table}
+	g.src.Publish(&v)
+}
+
+// A request through a pin doesn't hold up the shard while the pin is held, but
+// does once that pin is dissolved, also if the key is pinned again.
+func TestInFlightOfShardCountsRequestsOfDissolvedPin(t *testing.T) {
+	release := make(chan struct{})
+	g := newGateTest(t, func(http.ResponseWriter, *http.Request) { <-release })
+	g.publishPin(8, view.Serving)
+	done := make(chan struct{})
+	go func() { defer close(done); _, _ = g.do(post("r")) }()
+	eventually(t, "the request runs", func() bool { return g.runs.Load() == 1 })
+	steps := []struct {
+		name  string
+		epoch uint64
+		state view.UnitState
+		want  int
+	}{
+		{"pin held", 8, view.Serving, 0},
+		{"pin handed over", 8, view.Stopping, 1},
+		{"pin dissolved", 0, 0, 1},
+		{"pinned again", 11, view.Pending, 1},
+	}
+	for _, s := range steps {
+		g.publishPin(s.epoch, s.state)
+		if n := g.InFlight(testUnit); n != s.want {
+			t.Errorf("%s: %d in flight, want %d", s.name, n, s.want)
+		}
+	}
+	close(release)
+	<-done
+	if n := g.InFlight(testUnit); n != 0 {
+		t.Errorf("%d remain", n)
+	}
+}
+
 func TestAbandonedRunHoldsItsUnitUntilTheDeadline(t *testing.T) {
 	release := make(chan struct{})
 	g := newGateTest(t, func(http.ResponseWriter, *http.Request) { <-release })
--- a/internal/backend/inflight.go
+++ b/internal/backend/inflight.go
@@ -25,12 +25,21 @@
 type keyStripe struct {
 	mu    sync.Mutex
 	count map[cluster.Unit]int
+	// pinned counts the requests that came in through a pin.
+	pinned map[admission]int
+}
+
+// admission names a pin at the epoch at which requests came in through it.
+type admission struct {
+	pin   cluster.Unit
+	epoch uint64
 }
 
 func newInFlight() *inFlight {
 	f := &inFlight{}
 	for i := range f.keys {
 		f.keys[i].count = map[cluster.Unit]int{}
+		f.keys[i].pinned = map[admission]int{}
 	}
 	return f
 }
@@ -78,3 +87,32 @@
 	defer s.mu.Unlock()
 	return s.count[u]
 }
+
+// addPinned counts a request that came in through a pin; n is 1 or -1.
+func (f *inFlight) addPinned(pin cluster.Unit, epoch uint64, n int) {
+	a := admission{pin: pin, epoch: epoch}
+	s := f.stripe(pin.Key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pinned[a] += n
+	if s.pinned[a] == 0 {
+		delete(s.pinned, a)
+	}
+}
+
+// strays returns the requests for keys of a shard that came in through a pin
+// that is not held any more.
+func (f *inFlight) strays(shard cluster.Unit, held func(admission) bool) int {
+	n := 0
+	for i := range f.keys {
+		s := &f.keys[i]
+		s.mu.Lock()
+		for a, c := range s.pinned {
+			if a.pin.Service == shard.Service && a.pin.Shard == shard.Shard && !held(a) {
+				n += c
+			}
+		}
+		s.mu.Unlock()
+	}
+	return n
+}
