Balance only with a report from every owner

A controller that had only some load reports took every unit of the others for idle. Balancing now waits for a recent report of every owner.

Of two reports on one unit the one of the latest owner counts; before, map order decided, so a step was not deterministic.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -10,7 +10,6 @@
 	"fulmarhinge/internal/config"
 	"fulmarhinge/internal/placement"
 	"fulmarhinge/internal/timeline"
-	"fulmarhinge/internal/wire"
 )
 
 // Rules of the controller role.
@@ -22,13 +21,8 @@
 	rankWait = 350 * time.Millisecond
 	// balanceEvery is the least time between two planned rebalancings.
 	balanceEvery = 5 * time.Second
-	// reportPerMember stretches the period of load reports, so that the
-	// controller of a large fleet receives no more than it can take.
-	reportPerMember = 50 * time.Millisecond
 	// maxPlannedMoves bounds the planned moves of one rebalancing.
 	maxPlannedMoves = 256
-	// loadKept is how many report periods a report counts for.
-	loadKept = 3
 )
 
 // serviceControl is what a node keeps for the controller role of a service.
@@ -43,18 +37,6 @@
 	reports     map[string]loadReport
 }
 
-// loadReport is the last report of one member.
-type loadReport struct {
-	ref   cluster.MemberRef
-	at    clock.Mono
-	units map[cluster.Unit]unitLoad
-}
-
-type unitLoad struct {
-	rate  float64
-	epoch uint64
-}
-
 // controlServices does the controller's part for each service divided by key.
 // Any node may; rank only keeps them from doing the same work at once, and
 // each decision is a conditional update.
@@ -205,21 +187,6 @@
 	in.Nodes = append(in.Nodes, n)
 }
 
-// addLoads uses the reports that are recent and from living incarnations.
-func (m *Machine) addLoads(in *placement.Input, c *serviceControl) {
-	for _, r := range c.reports {
-		if m.isGone(r.ref) || r.at.Add(loadKept*m.reportPeriod()) < m.now {
-			continue
-		}
-		for u, l := range r.units {
-			in.Load[u] = l.rate
-			if l.epoch > 0 {
-				in.Serving[u] = max(in.Serving[u], l.epoch)
-			}
-		}
-	}
-}
-
 // forcedWork reports whether any unit must move.
 func forcedWork(in placement.Input) bool {
 	usable := map[cluster.MemberRef]bool{}
@@ -246,14 +213,17 @@
 	return false
 }
 
-// balance moves load from time to time. Only the first controller does, as
-// its reports are the complete ones.
+// balance moves load from time to time. Only the first controller does, and
+// only with a report from every owner: units of which nothing was heard, as
+// after a change of the controller, would be taken for idle ones.
 func (m *Machine) balance(s config.Service, c *serviceControl, rank int) {
 	if rank != 0 || c.nextBalance > m.now {
 		return
 	}
 	c.nextBalance = m.now.Add(max(balanceEvery, m.reportPeriod()))
-	m.carryOut(s, placement.Plan(m.planInput(s)))
+	if in := m.planInput(s); m.allReported(in, c) {
+		m.carryOut(s, placement.Plan(in))
+	}
 }
 
 // carryOut writes each placement object that the moves concern, once.
@@ -323,64 +293,3 @@
 	wait += wait * time.Duration(m.params.Lease.DriftPercent) / 100
 	return at.Add(wait) <= m.now
 }
-
-// reportPeriod is the time between two load reports of one node.
-func (m *Machine) reportPeriod() time.Duration {
-	return max(balanceEvery, time.Duration(len(m.members))*reportPerMember)
-}
-
-func (m *Machine) sampleLoad(e LoadSampled) { m.units.rates = e.Rates }
-
-// reportLoad tells the first controller what this node serves and how much.
-func (m *Machine) reportLoad(service string, c *serviceControl) {
-	if c.nextReport > m.now {
-		return
-	}
-	c.nextReport = m.now.Add(m.reportPeriod())
-	first := m.controllers(service)
-	if len(first) == 0 {
-		return
-	}
-	r := m.buildReport(service)
-	if first[0].MemberRef == m.self {
-		m.onLoadReport(m.self, r)
-		return
-	}
-	if len(r.Units) > 0 {
-		m.sendTo(first[0].Name, &wire.Control{Body: &wire.Control_LoadReport{LoadReport: r}})
-	}
-}
-
-func (m *Machine) buildReport(service string) *wire.LoadReport {
-	r := &wire.LoadReport{PeriodMs: uint64(m.reportPeriod().Milliseconds())}
-	add := func(u cluster.Unit, epoch uint64) {
-		r.Units = append(r.Units, &wire.UnitLoad{
-			Service: u.Service, Shard: uint32(u.Shard), Key: u.Key, Rate: m.units.rates[u], Epoch: epoch,
-		})
-	}
-	for _, u := range sortedUnits(m.units.own) {
-		if cur := m.units.own[u]; u.Service == service && cur.serving() {
-			add(u, cur.epoch)
-		}
-	}
-	for _, u := range sortedUnits(m.units.rates) {
-		if u.Service == service && m.units.own[u] == nil {
-			add(u, 0)
-		}
-	}
-	return r
-}
-
-func (m *Machine) onLoadReport(from cluster.MemberRef, r *wire.LoadReport) {
-	byService := map[string]map[cluster.Unit]unitLoad{}
-	for _, l := range r.GetUnits() {
-		u := cluster.Unit{Service: l.GetService(), Shard: int(l.GetShard()), Key: l.GetKey()}
-		if byService[u.Service] == nil {
-			byService[u.Service] = map[cluster.Unit]unitLoad{}
-		}
-		byService[u.Service][u] = unitLoad{rate: l.GetRate(), epoch: l.GetEpoch()}
-	}
-	for s, units := range byService {
-		m.serviceControl(s).reports[from.Name] = loadReport{ref: from, at: m.now, units: units}
-	}
-}
--- a/internal/control/handover_test.go
+++ b/internal/control/handover_test.go
@@ -6,6 +6,7 @@
 
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/platform"
+	"fulmarhinge/internal/view"
 )
 
 // firstUnit is the shard that the tests reassign by hand.
@@ -96,3 +97,98 @@
 		t.Fatalf("%d units are not served, longest gap %s: %s", len(left), gap, f.failure)
 	}
 }
+
+// loadAll samples a load for each unit that a node serves; the first shard
+// has more than a node's share.
+func (f *fleet) loadAll() {
+	for _, s := range f.nodes {
+		if !s.alive || s.view == nil {
+			continue
+		}
+		rates := map[cluster.Unit]float64{}
+		for u, o := range s.view.Owned {
+			if o.State == view.Serving {
+				rates[u] = 100
+				if u == firstUnit {
+					rates[u] = 1000
+				}
+			}
+		}
+		s.m.Step(f.local(s), LoadSampled{Rates: rates})
+	}
+}
+
+// loseControllers ends the nodes that are the first controllers.
+func (f *fleet) loseControllers(controllers int) map[cluster.MemberRef]bool {
+	lost := map[cluster.MemberRef]bool{}
+	for _, s := range f.nodes {
+		if r := s.m.controllerRank(testService); r >= 0 && r < controllers {
+			lost[s.m.self] = true
+			s.alive = false
+		}
+	}
+	return lost
+}
+
+// What a controller has not heard of is not idle. The one after the first has
+// had the reports as well and moves each lost unit once; one further behind has
+// not, and must leave the units of the living alone.
+func TestNextControllerLeavesTheLivingAlone(t *testing.T) {
+	for controllers := 1; controllers <= 2; controllers++ {
+		f := settled(t, 7, true)
+		for range 40 {
+			f.loadAll()
+			f.advance(time.Second)
+		}
+		before := f.shards()
+		lost := f.loseControllers(controllers)
+		for range 15 {
+			f.loadAll()
+			f.advance(time.Second)
+		}
+		strayed, again := 0, 0
+		for i, a := range f.shards() {
+			moves := int(a.Epoch - before[i].Epoch)
+			if lost[before[i].Owner] {
+				again += moves - 1
+			} else {
+				strayed += moves
+			}
+		}
+		if strayed > 0 || (controllers == 1 && again > 0) {
+			t.Errorf("%d controllers lost: %d units of the living moved, %d lost ones twice", controllers, strayed, again)
+		}
+		if left := f.unserved(); len(left) > 0 || f.failure != "" {
+			t.Errorf("%d units are not served: %s", len(left), f.failure)
+		}
+	}
+}
+
+func (f *fleet) shards() []cluster.Assignment {
+	var g cluster.Group
+	mustDecode(f.store[cluster.GroupKey(testService, 0)].Value, &g)
+	return g.Shards
+}
+
+// With its own report alone a controller would take all others for idle.
+func TestBalanceWaitsForAllReports(t *testing.T) {
+	f := settled(t, 7, true)
+	for range 40 {
+		f.loadAll()
+		f.advance(time.Second)
+	}
+	before := f.shards()
+	for _, s := range f.nodes {
+		c := s.m.serviceControl(testService)
+		own := c.reports[s.name]
+		clear(c.reports)
+		c.reports[s.name] = own
+		c.nextBalance = 0
+	}
+	f.advance(30 * time.Second)
+	for i, a := range f.shards() {
+		if a.Epoch != before[i].Epoch {
+			t.Errorf("shard %d moved from %s to %s", i, before[i].Owner, a.Owner)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/load.go
@@ -0,0 +1,150 @@
+package control
+
+import (
+	"time"
+
+	"fulmarhinge/internal/clock"
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/placement"
+	"fulmarhinge/internal/wire"
+)
+
+// Rules of load reports.
+const (
+	// reportPerMember stretches the period of load reports, so that the
+	// controller of a large fleet receives no more than it can take.
+	reportPerMember = 50 * time.Millisecond
+	// loadKept is how many report periods a report counts for.
+	loadKept = 3
+	// reportedTo is how many controllers receive the reports, so that the next
+	// one knows the loads when the first is lost.
+	reportedTo = 2
+)
+
+// loadReport is the last report of one member.
+type loadReport struct {
+	ref   cluster.MemberRef
+	at    clock.Mono
+	units map[cluster.Unit]unitLoad
+}
+
+type unitLoad struct {
+	rate  float64
+	epoch uint64
+}
+
+// addLoads uses the recent reports, also the last ones of members that are gone:
+// they say what load the units bring that have to be placed.
+func (m *Machine) addLoads(in *placement.Input, c *serviceControl) {
+	best := map[cluster.Unit]unitLoad{}
+	for _, r := range c.reports {
+		if !m.recent(r) {
+			continue
+		}
+		for u, l := range r.units {
+			if old, known := best[u]; !known || l.outranks(old) {
+				best[u] = l
+			}
+		}
+	}
+	for u, l := range best {
+		in.Load[u] = l.rate
+		if l.epoch > 0 {
+			in.Serving[u] = l.epoch
+		}
+	}
+}
+
+// outranks reports whether one of two reports on a unit counts more. A former
+// owner goes on reporting an average that fades, without an epoch, so the
+// report of the latest owner counts.
+func (l unitLoad) outranks(other unitLoad) bool {
+	if l.epoch != other.epoch {
+		return l.epoch > other.epoch
+	}
+	return l.rate > other.rate
+}
+
+func (m *Machine) recent(r loadReport) bool {
+	return r.at.Add(loadKept*m.reportPeriod()) >= m.now
+}
+
+// allReported reports whether there is a recent report of every owner.
+func (m *Machine) allReported(in placement.Input, c *serviceControl) bool {
+	reported := func(a cluster.Assignment) bool {
+		r, ok := c.reports[a.Owner.Name]
+		return ok && r.ref == a.Owner && m.recent(r)
+	}
+	for i := range in.Shards {
+		if !reported(in.Shards[i]) {
+			return false
+		}
+	}
+	for i := range in.Pins {
+		if !reported(in.Pins[i].Assignment) {
+			return false
+		}
+	}
+	return true
+}
+
+// reportPeriod is the time between two load reports of one node.
+func (m *Machine) reportPeriod() time.Duration {
+	return max(balanceEvery, time.Duration(len(m.members))*reportPerMember)
+}
+
+func (m *Machine) sampleLoad(e LoadSampled) { m.units.rates = e.Rates }
+
+// reportLoad tells the first controllers what this node serves and how much.
+func (m *Machine) reportLoad(service string, c *serviceControl) {
+	if c.nextReport > m.now {
+		return
+	}
+	c.nextReport = m.now.Add(m.reportPeriod())
+	to := m.controllers(service)
+	to = to[:min(len(to), reportedTo)]
+	r := m.buildReport(service)
+	for _, p := range to {
+		if p.MemberRef == m.self {
+			m.onLoadReport(m.self, r)
+			continue
+		}
+		if len(r.Units) > 0 {
+			m.sendTo(p.Name, &wire.Control{Body: &wire.Control_LoadReport{LoadReport: r}})
+		}
+	}
+}
+
+func (m *Machine) buildReport(service string) *wire.LoadReport {
+	r := &wire.LoadReport{PeriodMs: uint64(m.reportPeriod().Milliseconds())}
+	add := func(u cluster.Unit, epoch uint64) {
+		r.Units = append(r.Units, &wire.UnitLoad{
+			Service: u.Service, Shard: uint32(u.Shard), Key: u.Key, Rate: m.units.rates[u], Epoch: epoch,
+		})
+	}
+	for _, u := range sortedUnits(m.units.own) {
+		if cur := m.units.own[u]; u.Service == service && cur.serving() {
+			add(u, cur.epoch)
+		}
+	}
+	for _, u := range sortedUnits(m.units.rates) {
+		if u.Service == service && m.units.own[u] == nil {
+			add(u, 0)
+		}
+	}
+	return r
+}
+
+func (m *Machine) onLoadReport(from cluster.MemberRef, r *wire.LoadReport) {
+	byService := map[string]map[cluster.Unit]unitLoad{}
+	for _, l := range r.GetUnits() {
+		u := cluster.Unit{Service: l.GetService(), Shard: int(l.GetShard()), Key: l.GetKey()}
+		if byService[u.Service] == nil {
+			byService[u.Service] = map[cluster.Unit]unitLoad{}
+		}
+		byService[u.Service][u] = unitLoad{rate: l.GetRate(), epoch: l.GetEpoch()}
+	}
+	for s, units := range byService {
+		m.serviceControl(s).reports[from.Name] = loadReport{ref: from, at: m.now, units: units}
+	}
+}
