--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -303,6 +303,7 @@
 	r.unit = u
 	r.epoch = owned.Epoch
 	r.owner = v.Self
+	r.history = owned.History
 	return view.Serving, nil
 }
 
--- a/internal/backend/run.go
+++ b/internal/backend/run.go
@@ -57,6 +57,9 @@
 	// owner is this node's incarnation when the request was let in.
 	owner cluster.MemberRef
 
+	// history is what earlier owners passed on of idempotency keys.
+	history []*wire.History
+
 	stage atomic.Int32
 	// conn is the connection that the request was dispatched on.
 	conn   atomic.Pointer[guardedConn]
