--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -27,13 +27,8 @@
 	rankWait = 350 * time.Millisecond
 	// balanceEvery is the least time between two planned rebalancings.
 	balanceEvery = 5 * time.Second
-	// reportPerMember stretches the period of load reports, so that the
-	// controller of a large fleet receives no more than it can take.
-	reportPerMember = 50 * time.Millisecond
 	// maxPlannedMoves bounds the planned moves of one rebalancing.
 	maxPlannedMoves = 256
-	// loadKept is how many report periods a report counts for.
-	loadKept = 3
 )
 
 // serviceControl is what a node keeps for the controller role of a service.
@@ -248,14 +243,17 @@
 	return false
 }
 
-// balance moves load from time to time. Only the first controller does, as
-// its reports are the complete ones.
+// balance moves load from time to time. Only the first controller does, and
+// only with a report from every owner: units of which nothing was heard, as
+// after a change of the controller, would be taken for idle ones.
 func (m *Machine) balance(s config.Service, c *serviceControl, rank int) {
 	if rank != 0 || c.nextBalance > m.now {
 		return
 	}
 	c.nextBalance = m.now.Add(max(balanceEvery, m.reportPeriod()))
-	m.carryOut(s, placement.Plan(m.planInput(s)))
+	if in := m.planInput(s); m.allReported(in, c) {
+		m.carryOut(s, placement.Plan(in))
+	}
 }
 
 // carryOut writes each placement object that the moves concern, once.
@@ -320,5 +318,8 @@
 		m.gone[ref] = m.now
 		at = m.now
 	}
-	return at.Add(m.maxTime[service]) <= m.now
+	// The deadlines run on other clocks, which may be slower than this one.
+	wait := m.maxTime[service]
+	wait += wait * time.Duration(m.params.Lease.DriftPercent) / 100
+	return at.Add(wait) <= m.now
 }
