Pass on what was passed on when a unit moves twice within seconds

A unit that had just come named only the time of its own ownership to its next owner, so keys made before it, or within the clock bound of its start, counted as seen. Ruled out: a longer history (the floor is the ownership's start, not its span).

--- a/internal/backend/history.go
+++ b/internal/backend/history.go
@@ -15,6 +15,9 @@
 // this time to be told from one that ran.
 const historySpan = 5 * time.Second
 
+// maxPassedOn is how many keys are passed on for a further time, 8 bytes each.
+const maxPassedOn = 16 << 10
+
 // keyPast tells whether a key that this process does not remember may have run
 // at an earlier owner, or here so long ago that it was forgotten.
 type keyPast struct {
@@ -93,14 +96,44 @@
 	if !ok {
 		since = now
 	}
+	var before []uint64
 	if since.After(floor) {
-		floor = since
+		floor, before = g.passedOn(u, epoch, floor, since)
 	}
 	h := &wire.History{FloorMs: floor.UnixMilli() + 1}
-	h.Seen = g.table.seenSince(shardOf(u), floor.Add(-g.table.limits.ClockBound))
+	seen := g.table.seenSince(shardOf(u), floor.Add(-g.table.limits.ClockBound))
+	h.Seen = mergeHashes(before, seen)
 	return h
 }
 
+// passedOn returns the floor and the keys of the time before this ownership.
+// If that is short, they are the ones that were passed on to it: without them a
+// unit that moves twice within seconds would lose what the first owner knew,
+// and keys that never ran would be refused. A list that has grown long over
+// many moves ends here, as does one of an ownership that continues another.
+func (g *Gate) passedOn(u cluster.Unit, epoch uint64, floor, since time.Time) (time.Time, []uint64) {
+	v := g.src.Current()
+	if v == nil {
+		return since, nil
+	}
+	owned := v.Owned[u]
+	told := owned.History
+	if owned.Epoch != epoch || owned.Continues || told == nil || len(told.GetSeen()) > maxPassedOn {
+		return since, nil
+	}
+	if earlier := time.UnixMilli(told.GetFloorMs()); earlier.After(floor) {
+		floor = earlier
+	}
+	return floor, told.GetSeen()
+}
+
+// mergeHashes returns the sorted union of two sorted lists.
+func mergeHashes(a, b []uint64) []uint64 {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // seenSince returns the sorted hashes of the keys of a shard that were let
 // through after a time.
 func (t *idempotencyTable) seenSince(shard cluster.Unit, after time.Time) []uint64 {
--- a/internal/backend/history_test.go
+++ b/internal/backend/history_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/view"
 	"fulmarhinge/internal/wire"
 )
 
@@ -72,6 +73,45 @@
 	}
 }
 
+// A unit that moves twice within seconds takes along what its first owner knew.
+func TestHistoryPassesOnWhatWasPassedOn(t *testing.T) {
+	now := time.Now()
+	// The floor is rounded up to a whole millisecond.
+	const roundUp = 2 * time.Millisecond
+	long := make([]uint64, maxPassedOn+1)
+	cases := []struct {
+		name      string
+		told      *wire.History
+		continues bool
+		// floorBack is how far the floor lies back at the least, and at most.
+		least, most time.Duration
+		seen        int
+	}{
+		{"nothing was passed on", nil, false, -roundUp, time.Second, 0},
+		{"a recent floor", &wire.History{FloorMs: now.Add(-3 * time.Second).UnixMilli(), Seen: []uint64{5, 9}}, false, 2 * time.Second, 4 * time.Second, 2},
+		{"an old floor", &wire.History{FloorMs: now.Add(-time.Hour).UnixMilli(), Seen: []uint64{5}}, false, 4 * time.Second, historySpan + time.Second, 1},
+		{"a first owner", &wire.History{}, false, 4 * time.Second, historySpan + time.Second, 0},
+		{"too many keys", &wire.History{Seen: long}, false, -roundUp, time.Second, 0},
+		{"an ownership that continues another", &wire.History{Seen: []uint64{5}}, true, -roundUp, time.Second, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGateTest(t, func(http.ResponseWriter, *http.Request) {})
+			v := *g.src.Current()
+			v.Owned = map[cluster.Unit]view.Owned{testUnit: {State: view.Serving, Epoch: 8, History: c.told, Continues: c.continues}}
+			g.src.Publish(&view.View{Owned: map[cluster.Unit]view.Owned{}})
+			g.src.Publish(&v)
+			h := g.History(testUnit, 8)
+			if back := time.Since(time.UnixMilli(h.GetFloorMs())); back < c.least || back > c.most {
+				t.Errorf("the floor lies %v back", back)
+			}
+			if len(h.GetSeen()) != c.seen {
+				t.Errorf("%d keys are named, want %d", len(h.GetSeen()), c.seen)
+			}
+		})
+	}
+}
+
 // A key that was forgotten can't be named to the next owner, so the floor lies
 // above it.
 func TestHistoryCoversOnlyWhatIsRemembered(t *testing.T) {
