Never let an earlier owner speak for one that is gone

Excerpt: attempt 36-10.0 of key-71 ran at node-05 in painel/39 epoch 2 from 00:58:50.894, and 36-10.1 with the same idempotency key at node-04 in epoch 3 from 00:58:52.452.

Cause: placement leaves a gone owner out of the predecessors and keeps the one before it, as the gone one may not have served. inherit then took the release of the one before as covering all earlier runs, and let keys through that had run at the owner that was lost. Ruled out: a release from the cut node (its bytes are held), a wrong start of serving. Change: the predecessors' epochs must go down one by one from the present one; an epoch that is left out means an owner that ended without a release. The new table test fails on the old code in 2 of 4 cases.

--- /dev/null
+++ b/internal/control/inherit_test.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"testing"
+
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/wire"
+)
+
+// TestInheritNeedsEveryEpoch holds that an owner that is gone, and therefore
+// not listed, is never covered by what an owner before it said.
+func TestInheritNeedsEveryEpoch(t *testing.T) {
+	u := cluster.Unit{Service: "painel", Shard: 3}
+	a := cluster.MemberRef{Name: "a", Incarnation: 1}
+	b := cluster.MemberRef{Name: "b", Incarnation: 1}
+	served := &wire.History{FloorMs: 7}
+	never := &wire.History{NeverServed: true}
+	cases := map[string]struct {
+		epoch  uint64
+		before []cluster.Predecessor
+		heard  map[cluster.MemberRef]heardRelease
+		want   *wire.History
+	}{
+		"the last owner released": {
+			epoch:  2,
+			before: []cluster.Predecessor{{MemberRef: a, Epoch: 1}},
+			heard:  map[cluster.MemberRef]heardRelease{a: {epoch: 1, history: served}},
+			want:   served,
+		},
+		"the last owner is gone, an earlier one released": {
+			epoch:  3,
+			before: []cluster.Predecessor{{MemberRef: a, Epoch: 1}},
+			heard:  map[cluster.MemberRef]heardRelease{a: {epoch: 1, history: served}},
+		},
+		"the last owner never served": {
+			epoch:  3,
+			before: []cluster.Predecessor{{MemberRef: a, Epoch: 1}, {MemberRef: b, Epoch: 2}},
+			heard: map[cluster.MemberRef]heardRelease{
+				a: {epoch: 1, history: served}, b: {epoch: 2, history: never},
+			},
+			want: served,
+		},
+		"one between is gone": {
+			epoch:  4,
+			before: []cluster.Predecessor{{MemberRef: a, Epoch: 1}, {MemberRef: b, Epoch: 3}},
+			heard: map[cluster.MemberRef]heardRelease{
+				a: {epoch: 1, history: served}, b: {epoch: 3, history: never},
+			},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := &Machine{}
+			m.units.init()
+			m.units.heard[u] = c.heard
+			if got := m.inherit(u, c.epoch, c.before); got != c.want {
+				t.Fatalf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/control/units.go
+++ b/internal/control/units.go
@@ -291,8 +291,9 @@
 
 // inherit returns what the last owner that served the unit said of idempotency
 // keys; its floor covers the owners before it. It is nil if that owner ended
-// without, as any earlier key may then have run. The first owner of a shard has
-// nobody before it.
+// without, as any earlier key may then have run. An owner that is gone is not
+// listed, and shows as an epoch that is left out. The first owner of a shard
+// has nobody before it.
 func (m *Machine) inherit(u cluster.Unit, epoch uint64, before []cluster.Predecessor) *wire.History {
 	if u.Key == "" && epoch == firstEpoch && len(before) == 0 {
 		return &wire.History{}
@@ -301,9 +302,10 @@
 	slices.SortFunc(latest, func(a, b cluster.Predecessor) int { return cmp.Compare(b.Epoch, a.Epoch) })
 	for _, p := range latest {
 		h := m.units.heard[u][p.MemberRef]
-		if h.history == nil || h.epoch < p.Epoch {
+		if p.Epoch != epoch-1 || h.history == nil || h.epoch < p.Epoch {
 			return nil
 		}
+		epoch = p.Epoch
 		if !h.history.GetNeverServed() {
 			return h.history
 		}
