--- a/internal/config/layout_test.go
+++ b/internal/config/layout_test.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 
 	"fulmarhinge/internal/cluster"
@@ -63,15 +65,47 @@
 func TestHeadSizeStaysSmall(t *testing.T) {
 	m := platform.NewMemory()
 	e := quickEditor(m)
+	// Enough contracts for each bucket, then enough changes to fill what the head
+	// remembers of earlier ones.
+	var edits []Edit
 	for i := range 400 {
-		mustApply(t, e, Contracts.Set(0, contractOf(newChangeID(), float64(i+1))))
+		edits = append(edits, Contracts.Set(0, contractOf(fmt.Sprintf("customer-%d", i), 1)))
+	}
+	mustApply(t, e, All(edits...))
+	for i := range 2 * keepSuperseded {
+		mustApply(t, e, Contracts.Set(0, contractOf(fmt.Sprintf("later-%d", i), 1)))
 	}
 	o, err := m.Get(t.Context(), cluster.ConfigHeadKey)
 	if err != nil {
 		t.Fatal(err)
 	}
+	if n := len(mustLoad(t, e).Head.Parts); n != ContractBuckets {
+		t.Fatalf("%d parts, expected each of %d buckets", n, ContractBuckets)
+	}
 	t.Logf("head of %d parts: %d bytes", len(mustLoad(t, e).Head.Parts), len(o.Value))
 	if limit := 16 << 10; len(o.Value) > limit {
 		t.Errorf("head has %d bytes, expected at most %d", len(o.Value), limit)
 	}
 }
+
+func TestPartAboveThePlatformsLimitIsInvalid(t *testing.T) {
+	m := platform.NewMemory()
+	e := quickEditor(m)
+	// Few customers of long names fill one bucket beyond the limit.
+	var edits []Edit
+	for i, size := 0, 0; size <= platform.MaxValueBytes; i++ {
+		ct := contractOf(fmt.Sprintf("%0128d", i), 1)
+		if ContractPart(ct.Customer) == "contracts-00" {
+			edits = append(edits, Contracts.Set(0, ct))
+			size += len(cluster.Encode(ct))
+		}
+	}
+	_, err := e.Apply(t.Context(), AnyRevision, All(edits...))
+	if !ErrInvalid.Has(err) || !strings.Contains(err.Error(), "part contracts-00") {
+		t.Fatalf("error %v, expected an invalid part", err)
+	}
+	if n := partObjects(t, m); n != 0 {
+		t.Errorf("%d parts were written", n)
+	}
+	mustApply(t, e, All(edits[:len(edits)/2]...))
+}
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -10,13 +10,18 @@
 	"fulmarhinge/internal/config"
 	"fulmarhinge/internal/placement"
 	"fulmarhinge/internal/timeline"
-	"fulmarhinge/internal/wire"
 )
 
 // Rules of the controller role.
 const (
 	// forcedWait lets losses that come together be handled in one update.
 	forcedWait = 60 * time.Millisecond
+	// moreWait takes its place for moreWithin after an update. The leases of a
+	// lost zone's nodes lapse over a whole renewal period; writing every
+	// placement object for each few of them would be more than the platform
+	// takes.
+	moreWait   = 350 * time.Millisecond
+	moreWithin = 2 * time.Second
 	// rankWait is how much longer each next node in rank waits before it does
 	// what the one before it has left undone.
 	rankWait = 350 * time.Millisecond
@@ -36,25 +41,15 @@
 	// workSince is when forced work was first seen; 0 if there is none.
 	workSince clock.Mono
 	// forced is whether any unit must move in the state of checked.
-	forced      bool
-	checked     planRev
+	forced  bool
+	checked planRev
+	// placedAt is when forced work was last carried out here.
+	placedAt    clock.Mono
 	nextBalance clock.Mono
 	nextReport  clock.Mono
 	reports     map[string]loadReport
 }
 
-// loadReport is the last report of one member.
-type loadReport struct {
-	ref   cluster.MemberRef
-	at    clock.Mono
-	units map[cluster.Unit]unitLoad
-}
-
-type unitLoad struct {
-	rate  float64
-	epoch uint64
-}
-
 // controlServices does the controller's part for each service divided by key.
 // Any node may; rank only keeps them from doing the same work at once, and
 // each decision is a conditional update.
@@ -105,8 +100,13 @@
 	if c.workSince == 0 {
 		c.workSince = m.now
 	}
-	wait := forcedWait + time.Duration(rank)*rankWait
-	if c.workSince.Add(wait) <= m.now {
+	wait := forcedWait
+	if c.placedAt > 0 && c.placedAt.Add(moreWithin) > m.now {
+		wait = moreWait
+	}
+	if c.workSince.Add(wait+time.Duration(rank)*rankWait) <= m.now {
+		c.workSince = 0
+		c.placedAt = m.now
 		in := m.planInput(s)
 		in.MaxMoves = 0
 		m.carryOut(s, placement.Plan(in))
@@ -132,6 +132,23 @@
 	return slices.IndexFunc(m.controllers(service), func(p *cluster.Member) bool { return p.MemberRef == m.self })
 }
 
+// controllerRanks is how many nodes, best first, may have to place what was
+// lost: the first one and those that act if it does not.
+const controllerRanks = 2
+
+// Controls reports whether this node may have to act as a controller.
+func (m *Machine) Controls() bool {
+	if m.config == nil {
+		return false
+	}
+	for name, s := range m.config.Services {
+		if rank := m.controllerRank(name); s.DividedByKey && rank >= 0 && rank < controllerRanks {
+			return true
+		}
+	}
+	return false
+}
+
 // createGroups writes the placement objects of a new service. It reports
 // whether any is missing.
 func (m *Machine) createGroups(s config.Service, rank int) bool {
@@ -205,21 +222,6 @@
 	in.Nodes = append(in.Nodes, n)
 }
 
-// addLoads uses the reports that are recent and from living incarnations.
-func (m *Machine) addLoads(in *placement.Input, c *serviceControl) {
-	for _, r := range c.reports {
-		if m.isGone(r.ref) || r.at.Add(loadKept*m.reportPeriod()) < m.now {
-			continue
-		}
-		for u, l := range r.units {
-			in.Load[u] = l.rate
-			if l.epoch > 0 {
-				in.Serving[u] = max(in.Serving[u], l.epoch)
-			}
-		}
-	}
-}
-
 // forcedWork reports whether any unit must move.
 func forcedWork(in placement.Input) bool {
 	usable := map[cluster.MemberRef]bool{}
@@ -320,64 +322,3 @@
 	}
 	return at.Add(m.maxTime[service]) <= m.now
 }
-
-// reportPeriod is the time between two load reports of one node.
-func (m *Machine) reportPeriod() time.Duration {
-	return max(balanceEvery, time.Duration(len(m.members))*reportPerMember)
-}
-
-func (m *Machine) sampleLoad(e LoadSampled) { m.units.rates = e.Rates }
-
-// reportLoad tells the first controller what this node serves and how much.
-func (m *Machine) reportLoad(service string, c *serviceControl) {
-	if c.nextReport > m.now {
-		return
-	}
-	c.nextReport = m.now.Add(m.reportPeriod())
-	first := m.controllers(service)
-	if len(first) == 0 {
-		return
-	}
-	r := m.buildReport(service)
-	if first[0].MemberRef == m.self {
-		m.onLoadReport(m.self, r)
-		return
-	}
-	if len(r.Units) > 0 {
-		m.sendTo(first[0].Name, &wire.Control{Body: &wire.Control_LoadReport{LoadReport: r}})
-	}
-}
-
-func (m *Machine) buildReport(service string) *wire.LoadReport {
-	r := &wire.LoadReport{PeriodMs: uint64(m.reportPeriod().Milliseconds())}
-	add := func(u cluster.Unit, epoch uint64) {
-		r.Units = append(r.Units, &wire.UnitLoad{
-			Service: u.Service, Shard: uint32(u.Shard), Key: u.Key, Rate: m.units.rates[u], Epoch: epoch,
-		})
-	}
-	for _, u := range sortedUnits(m.units.own) {
-		if cur := m.units.own[u]; u.Service == service && cur.serving() {
-			add(u, cur.epoch)
-		}
-	}
-	for _, u := range sortedUnits(m.units.rates) {
-		if u.Service == service && m.units.own[u] == nil {
-			add(u, 0)
-		}
-	}
-	return r
-}
-
-func (m *Machine) onLoadReport(from cluster.MemberRef, r *wire.LoadReport) {
-	byService := map[string]map[cluster.Unit]unitLoad{}
-	for _, l := range r.GetUnits() {
-		u := cluster.Unit{Service: l.GetService(), Shard: int(l.GetShard()), Key: l.GetKey()}
-		if byService[u.Service] == nil {
-			byService[u.Service] = map[cluster.Unit]unitLoad{}
-		}
-		byService[u.Service][u] = unitLoad{rate: l.GetRate(), epoch: l.GetEpoch()}
-	}
-	for s, units := range byService {
-		m.serviceControl(s).reports[from.Name] = loadReport{ref: from, at: m.now, units: units}
-	}
-}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -58,6 +58,7 @@
 	objects map[string]stored
 	digest  uint64
 	members map[string]*cluster.Member
+	heardAt map[string]clock.Mono
 	groups  map[string]*cluster.Group
 	gone    map[cluster.MemberRef]clock.Mono
 	derived derived
@@ -65,6 +66,8 @@
 	memberRev uint64
 	placeRev  uint64
 	config    *config.Config
+	// assembler keeps the decoded parts of the revision in force.
+	assembler *config.Assembler
 	head      config.Head
 	headAt    clock.Mono
 	// known is the newest revision that anybody has named, knownAt since when.
@@ -112,6 +115,8 @@
 		params:    p,
 		objects:   map[string]stored{},
 		members:   map[string]*cluster.Member{},
+		heardAt:   map[string]clock.Mono{},
+		assembler: config.NewAssembler(),
 		groups:    map[string]*cluster.Group{},
 		gone:      map[cluster.MemberRef]clock.Mono{},
 		maxTime:   map[string]time.Duration{},
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -9,7 +9,6 @@
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/lease"
 	"fulmarhinge/internal/timeline"
-	"fulmarhinge/internal/wire"
 )
 
 // Waits of a node's own membership.
@@ -20,6 +19,9 @@
 	selfRetry = 300 * time.Millisecond
 	// maxRejoinWait bounds the growing wait between rejoins.
 	maxRejoinWait = 10 * time.Second
+	// setSpread is the time over which the members that lost the same witness
+	// name another. A full set stands one more loss meanwhile.
+	setSpread = time.Second
 	// rescueEvery bounds how often silent witnesses are replaced.
 	rescueEvery = 5 * time.Second
 )
@@ -155,6 +157,18 @@
 	return m.own.chosen
 }
 
+// delaySetChange spreads the writes that follow the loss of a witness.
+func (m *Machine) delaySetChange(lost cluster.MemberRef) {
+	present := m.members[m.self.Name]
+	if present == nil || len(present.Witnesses) < m.params.Witnesses {
+		return
+	}
+	if slices.ContainsFunc(present.Witnesses, func(w cluster.Witness) bool { return w.MemberRef == lost }) {
+		jitter := time.Duration(cluster.Rank("set", m.self.Name) % uint64(setSpread))
+		m.own.setAt = max(m.own.setAt, m.now.Add(jitter))
+	}
+}
+
 // choice is what a chosen set depends on.
 type choice struct {
 	members  uint64
@@ -322,68 +336,3 @@
 	m.own.retryAt = min(m.own.retryAt, m.now)
 	m.reconcileSelf()
 }
-
-// allWitnesses returns each witness of any set once.
-func (m *Machine) allWitnesses() []cluster.Witness {
-	present := m.members[m.self.Name]
-	if present == nil {
-		return nil
-	}
-	all := slices.Clone(present.Witnesses)
-	for _, s := range m.own.pendingSets {
-		for _, w := range s {
-			if !slices.Contains(all, w) {
-				all = append(all, w)
-			}
-		}
-	}
-	return all
-}
-
-// renewIfDue sends a round of renewals.
-func (m *Machine) renewIfDue() {
-	if m.phase != phaseJoined || m.nextRenew > m.now {
-		return
-	}
-	m.nextRenew = m.now.Add(m.params.Lease.Renew)
-	seq := m.holder.Begin(m.now)
-	for _, w := range m.allWitnesses() {
-		m.sendRenew(w, seq)
-	}
-}
-
-func (m *Machine) sendRenew(w cluster.Witness, seq uint64) {
-	m.send(w.MemberRef, w.PeerAddr, &wire.Control{Body: &wire.Control_Renew{Renew: &wire.Renew{
-		Seq:            seq,
-		Heard:          m.holder.Heard(w.MemberRef),
-		PromiseMs:      uint64(m.params.Lease.Promise.Milliseconds()),
-		ConfigRevision: m.revision(),
-		Digest:         m.digest,
-	}}})
-}
-
-// checkOwnLease notes when the lease begins and ends. A node whose lease has
-// ended reads its own object, since it may have been evicted meanwhile.
-func (m *Machine) checkOwnLease() {
-	if m.phase != phaseJoined {
-		return
-	}
-	leased := m.leased()
-	if leased != m.own.hadLease {
-		m.own.hadLease = leased
-		ref := m.self
-		text := "lease lapsed"
-		if leased {
-			text = "lease held"
-			m.own.rejoins = 0
-		}
-		m.event(timeline.Event{Kind: timeline.KindLease, Member: &ref, Text: text})
-	}
-	if leased && !m.own.leasedOnce {
-		m.own.leasedOnce = true
-		m.reconcileSelf()
-	}
-	if !leased {
-		m.read(cluster.MemberKey(m.self.Name))
-	}
-}
