--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -9,6 +9,15 @@
 	"fulmarhinge/internal/wire"
 )
 
+// Rules of load reports.
+const (
+	// reportPerMember stretches the period of load reports, so that the
+	// controller of a large fleet receives no more than it can take.
+	reportPerMember = 50 * time.Millisecond
+	// loadKept is how many report periods a report counts for.
+	loadKept = 3
+)
+
 // loadReport is the last report of one member.
 type loadReport struct {
 	ref   cluster.MemberRef
@@ -21,19 +30,59 @@
 	epoch uint64
 }
 
-// addLoads uses the reports that are recent and from living incarnations.
+// addLoads uses the recent reports, also the last ones of members that are gone:
+// they say what load the units bring that have to be placed.
 func (m *Machine) addLoads(in *placement.Input, c *serviceControl) {
+	best := map[cluster.Unit]unitLoad{}
 	for _, r := range c.reports {
-		if m.isGone(r.ref) || r.at.Add(loadKept*m.reportPeriod()) < m.now {
+		if !m.recent(r) {
 			continue
 		}
 		for u, l := range r.units {
-			in.Load[u] = l.rate
-			if l.epoch > 0 {
-				in.Serving[u] = max(in.Serving[u], l.epoch)
+			if old, known := best[u]; !known || l.outranks(old) {
+				best[u] = l
 			}
 		}
 	}
+	for u, l := range best {
+		in.Load[u] = l.rate
+		if l.epoch > 0 {
+			in.Serving[u] = l.epoch
+		}
+	}
+}
+
+// outranks reports whether one of two reports on a unit counts more. A former
+// owner goes on reporting an average that fades, without an epoch, so the
+// report of the latest owner counts.
+func (l unitLoad) outranks(other unitLoad) bool {
+	if l.epoch != other.epoch {
+		return l.epoch > other.epoch
+	}
+	return l.rate > other.rate
+}
+
+func (m *Machine) recent(r loadReport) bool {
+	return r.at.Add(loadKept*m.reportPeriod()) >= m.now
+}
+
+// allReported reports whether there is a recent report of every owner.
+func (m *Machine) allReported(in placement.Input, c *serviceControl) bool {
+	reported := func(a cluster.Assignment) bool {
+		r, ok := c.reports[a.Owner.Name]
+		return ok && r.ref == a.Owner && m.recent(r)
+	}
+	for i := range in.Shards {
+		if !reported(in.Shards[i]) {
+			return false
+		}
+	}
+	for i := range in.Pins {
+		if !reported(in.Pins[i].Assignment) {
+			return false
+		}
+	}
+	return true
 }
 
 // reportPeriod is the time between two load reports of one node.
@@ -43,23 +92,25 @@
 
 func (m *Machine) sampleLoad(e LoadSampled) { m.units.rates = e.Rates }
 
-// reportLoad tells the first controller what this node serves and how much.
+// reportLoad tells those that may have to act as controllers what this node
+// serves and how much, so that the next one knows the loads when the first is
+// lost.
 func (m *Machine) reportLoad(service string, c *serviceControl) {
 	if c.nextReport > m.now {
 		return
 	}
 	c.nextReport = m.now.Add(m.reportPeriod())
-	first := m.controllers(service)
-	if len(first) == 0 {
-		return
-	}
+	to := m.controllers(service)
+	to = to[:min(len(to), controllerRanks)]
 	r := m.buildReport(service)
-	if first[0].MemberRef == m.self {
-		m.onLoadReport(m.self, r)
-		return
-	}
-	if len(r.Units) > 0 {
-		m.sendTo(first[0].Name, &wire.Control{Body: &wire.Control_LoadReport{LoadReport: r}})
+	for _, p := range to {
+		if p.MemberRef == m.self {
+			m.onLoadReport(m.self, r)
+			continue
+		}
+		if len(r.Units) > 0 {
+			m.sendTo(p.Name, &wire.Control{Body: &wire.Control_LoadReport{LoadReport: r}})
+		}
 	}
 }
 
