--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -55,7 +55,7 @@
 // no answer, for want of an address; its object is asked for instead.
 func (m *Machine) onRenew(from cluster.MemberRef, r *wire.Renew) {
 	holder := m.members[from.Name]
-	if holder == nil || holder.MemberRef != from {
+	if holder == nil || holder.MemberRef != from || holder.State.Gone() {
 		m.read(cluster.MemberKey(from.Name))
 		return
 	}
