Mend what a read-through found in the control state

- Each failed write in an outage added the same witness set again.
- A planned stop of a node that was evicted meanwhile never ended.
- Three witnesses could lie two in one zone.
- Reads of one object overlapped on a hanging platform.
- An acknowledgement of a release was never passed on by peers.
- A set could become empty because every peer had refused.
- Incarnations that are gone were remembered for ever.

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -96,13 +96,19 @@
 	return m.known > m.revision() && m.knownAt.Add(applyWithin) <= m.now
 }
 
+// cutOff reports whether the node has been without a lease for so long that a
+// newer revision may be in force elsewhere: it hears of one from its witnesses.
+func (m *Machine) cutOff() bool {
+	return m.phase == phaseJoined && !m.leased() && m.own.lapsedAt.Add(applyWithin) <= m.now
+}
+
 // refuseIfLate publishes a view again when the time to apply has run out.
 func (m *Machine) refuseIfLate() {
-	if late := m.late(); late != m.wasLate {
+	if late := m.late() || m.cutOff(); late != m.wasLate {
 		m.wasLate = late
 		m.dirty = true
 		if late {
-			m.event(timeline.Event{Kind: timeline.KindConfig, Revision: m.known, Text: "a known revision can't be applied in time, no requests are admitted"})
+			m.event(timeline.Event{Kind: timeline.KindConfig, Revision: m.known, Text: "the newest revision may be missing, no requests are admitted"})
 		}
 	}
 }
@@ -155,6 +161,9 @@
 	if m.config == nil {
 		return false, "no configuration is in force yet"
 	}
+	if m.cutOff() {
+		return false, "the node has had no lease for too long to know the newest configuration"
+	}
 	if m.late() {
 		return false, fmt.Sprintf("revision %d is known but not in force", m.known)
 	}
--- a/internal/control/evict.go
+++ b/internal/control/evict.go
@@ -74,8 +74,9 @@
 		return
 	}
 	if old := m.evictions[e.Name]; old != nil {
-		old.order, old.force = e.ID, e.Force
-		return
+		// The order replaces a try that runs; a write that is on its way makes
+		// the new one end with a conflict or find the member gone.
+		m.failEviction(old, "another order has come")
 	}
 	m.startEviction(&eviction{ref: mem.MemberRef, order: e.ID, force: e.Force})
 }
@@ -91,8 +92,7 @@
 	e.stage = evictReading
 	e.until = m.now.Add(evictTimeout)
 	m.evictions[e.ref.Name] = e
-	delete(m.reading, cluster.MemberKey(e.ref.Name))
-	m.read(cluster.MemberKey(e.ref.Name))
+	m.readNow(cluster.MemberKey(e.ref.Name))
 }
 
 // evictionRead goes on with a try once the member object is known afresh.
@@ -187,7 +187,7 @@
 func (m *Machine) writeEviction(e *eviction) {
 	key := cluster.MemberKey(e.ref.Name)
 	if m.writing[key] != 0 {
-		m.failEviction(e, "another write is pending")
+		m.failEviction(e, "another write is pending; try again")
 		return
 	}
 	out := *m.members[e.ref.Name]
@@ -220,6 +220,10 @@
 
 // failEviction leaves a try; another one may start after a wait.
 func (m *Machine) failEviction(e *eviction, why string) {
+	if m.evictions[e.ref.Name] != e {
+		// A later try has taken its place.
+		return
+	}
 	e.stage = evictWaiting
 	e.until = m.now.Add(evictRetry)
 	if e.order != 0 {
--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -68,20 +68,22 @@
 }
 
 type fleet struct {
-	rng        *rand.Rand
-	now        time.Duration
-	nodes      []*simNode
-	store      map[string]platform.Object
-	queue      []delivery
-	seq        int
-	cut        map[[2]string]bool
-	down       bool
-	slow       time.Duration
-	lose       int
-	double     bool
-	highest    map[cluster.Unit]uint64
-	failure    string
-	keepRuns   bool
+	rng      *rand.Rand
+	now      time.Duration
+	nodes    []*simNode
+	store    map[string]platform.Object
+	queue    []delivery
+	seq      int
+	cut      map[[2]string]bool
+	down     bool
+	slow     time.Duration
+	lose     int
+	double   bool
+	highest  map[cluster.Unit]uint64
+	failure  string
+	keepRuns bool
+	// replies counts the answers to each order.
+	replies    map[uint64]int
 	lateWrites []pendingLate
 	// servable is when each unit could last be dispatched by somebody.
 	servable map[cluster.Unit]time.Duration
@@ -94,6 +96,7 @@
 		cut:      map[[2]string]bool{},
 		highest:  map[cluster.Unit]uint64{},
 		servable: map[cluster.Unit]time.Duration{},
+		replies:  map[uint64]int{},
 	}
 	for _, o := range objects {
 		f.store[o.Key] = o
@@ -329,6 +332,9 @@
 	for _, p := range r.Lists {
 		f.reply(s, f.listEvent(p))
 	}
+	for _, p := range r.Replies {
+		f.replies[p.ID]++
+	}
 	if r.Done {
 		s.alive, s.done = false, true
 	}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -181,6 +181,7 @@
 
 // tick does everything that is due by time.
 func (m *Machine) tick() {
+	m.forgetReads()
 	m.loadMissing()
 	m.reconcileSelf()
 	m.renewIfDue()
@@ -273,20 +274,40 @@
 	w.done(e.Outcome)
 }
 
-// readAgainAfter bounds how often one object is read.
+// readAgainAfter is the least pause between two reads of one object.
 const readAgainAfter = 200 * time.Millisecond
 
-// read asks for an object unless a read of it has just been sent.
+// readAbandonedAfter is when a read without an answer is no longer waited for.
+const readAbandonedAfter = 5 * time.Second
+
+// read asks for an object unless a read of it is under way or has just ended.
 func (m *Machine) read(key string) {
 	if m.reading[key] > m.now {
 		return
 	}
-	m.reading[key] = m.now.Add(readAgainAfter)
+	m.reading[key] = m.now.Add(readAbandonedAfter)
 	m.ready.Reads = append(m.ready.Reads, key)
 }
 
+// readNow is like read without the pause.
+func (m *Machine) readNow(key string) {
+	if m.reading[key] <= m.now.Add(readAgainAfter) {
+		delete(m.reading, key)
+	}
+	m.read(key)
+}
+
+// forgetReads drops the pauses that are over.
+func (m *Machine) forgetReads() {
+	for k, until := range m.reading {
+		if until <= m.now {
+			delete(m.reading, k)
+		}
+	}
+}
+
 func (m *Machine) readDone(e ReadDone) {
-	delete(m.reading, e.Object.Key)
+	m.reading[e.Object.Key] = m.now.Add(readAgainAfter)
 	if !e.Failed && e.Object.Version > 0 {
 		m.observeAll([]platform.Object{e.Object}, noPeer)
 	}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -46,8 +46,10 @@
 	rejoinAt    clock.Mono
 	rejoins     int
 	hadLease    bool
-	chosen      []cluster.Witness
-	chosenFor   choice
+	// lapsedAt is since when there is no lease, if there is none.
+	lapsedAt  clock.Mono
+	chosen    []cluster.Witness
+	chosenFor choice
 }
 
 // membership holds what the node decides from the list of members.
@@ -185,7 +187,19 @@
 		}
 		return rescue && m.silent(r, self)
 	}
-	return lease.Choose(*self, m.memberList(), m.params.Witnesses, bad)
+	chosen := lease.Choose(*self, m.memberList(), m.params.Witnesses, bad)
+	if len(chosen) == 0 && len(self.Witnesses) > 0 && m.otherActive() {
+		// An empty set would make a lease that nobody can end.
+		return self.Witnesses
+	}
+	return chosen
+}
+
+// otherActive reports whether any other member could be a witness.
+func (m *Machine) otherActive() bool {
+	return slices.ContainsFunc(m.memberList(), func(p *cluster.Member) bool {
+		return p.Name != m.params.Self.Name && p.State == cluster.StateActive && p.Region == m.params.Self.Region
+	})
 }
 
 // needRescue reports whether the lease is about to lapse for want of answers
@@ -229,8 +243,7 @@
 	want.ChangeID = m.changeID()
 	present := m.objects[key]
 	if m.phase == phaseJoined && !sameSet(want.Witnesses, m.members[want.Name].Witnesses) {
-		m.own.pendingSets = append(m.own.pendingSets, want.Witnesses)
-		m.membersChanged()
+		m.addPendingSet(want.Witnesses)
 		m.own.setAt = m.now.Add(setChangeEvery)
 		if m.needRescue() {
 			m.own.rescueAt = m.now.Add(rescueEvery)
@@ -244,6 +257,18 @@
 	})
 }
 
+// addPendingSet notes a set that a write may put in force. A write that is made
+// again, as in an outage, adds nothing.
+func (m *Machine) addPendingSet(set []cluster.Witness) {
+	for _, s := range m.own.pendingSets {
+		if sameSet(s, set) {
+			return
+		}
+	}
+	m.own.pendingSets = append(m.own.pendingSets, set)
+	m.membersChanged()
+}
+
 func sameSet(a, b []cluster.Witness) bool { return slices.Equal(a, b) }
 
 // useSets tells the holder which majorities it needs.
@@ -304,6 +329,7 @@
 	m.membersChanged()
 	m.useSets()
 	m.nextRenew = m.now
+	m.own.lapsedAt = m.now
 	m.dirty = true
 	m.event(timeline.Event{Kind: timeline.KindMember, Member: &mem.MemberRef, Text: "member joined"})
 	m.adoptGroups()
@@ -320,8 +346,13 @@
 	ref := m.self
 	m.event(timeline.Event{Kind: timeline.KindLease, Member: &ref, Text: "lease lost: " + why})
 	m.resetIncarnation()
-	m.phase = phaseJoining
 	m.self = cluster.MemberRef{}
+	if m.own.drain {
+		// A planned stop ends here: there is nothing left to hand over.
+		m.phase = phaseLeft
+		return
+	}
+	m.phase = phaseJoining
 	wait := min(maxRejoinWait, selfRetry<<min(m.own.rejoins, 6))
 	m.own.rejoins++
 	m.own.rejoinAt = m.now.Add(wait)
--- a/internal/control/objects.go
+++ b/internal/control/objects.go
@@ -166,12 +166,26 @@
 		return
 	}
 	m.gone[ref] = m.now
+	m.forgetLongGone(ref)
 	m.delaySetChange(ref)
 	m.witness.Forget(ref)
-	delete(m.evictions, ref.Name)
+	if e := m.evictions[ref.Name]; e != nil {
+		m.endEviction(e)
+	}
 	m.event(timeline.Event{Kind: timeline.KindMember, Member: &ref, Text: "member is gone"})
 }
 
+// goneKept is how many incarnations of a name are remembered as gone. One that
+// is forgotten counts as gone since it is next asked for.
+const goneKept = 4
+
+// forgetLongGone bounds what is remembered of a name.
+func (m *Machine) forgetLongGone(ref cluster.MemberRef) {
+	if ref.Incarnation > goneKept {
+		delete(m.gone, cluster.MemberRef{Name: ref.Name, Incarnation: ref.Incarnation - goneKept})
+	}
+}
+
 // isGone reports whether an incarnation can never serve again. Unknown
 // members count as alive.
 func (m *Machine) isGone(ref cluster.MemberRef) bool {
--- a/internal/control/release.go
+++ b/internal/control/release.go
@@ -137,7 +137,8 @@
 	if cur == nil || cur.epoch <= r.GetEpoch() {
 		return
 	}
-	if cur.state == view.Pending {
+	again := cur.state != view.Pending
+	if !again {
 		if m.units.heard[u] == nil {
 			m.units.heard[u] = map[cluster.MemberRef]heardRelease{}
 		}
@@ -146,9 +147,14 @@
 		}
 		m.serveIfFree(u, cur)
 	}
-	m.sendTo(from.Name, &wire.Control{Body: &wire.Control_ReleaseAck{ReleaseAck: &wire.ReleaseAck{
+	ack := &wire.Control{Body: &wire.Control_ReleaseAck{ReleaseAck: &wire.ReleaseAck{
 		Service: u.Service, Shard: uint32(u.Shard), Key: u.Key, Epoch: r.GetEpoch(),
-	}}})
+	}}}
+	m.sendTo(from.Name, ack)
+	if again {
+		// The first answer may not have arrived: the direct link may be cut.
+		m.sendRelayed(from, ack)
+	}
 }
 
 // onReleaseAck stops the sending to the owner that acknowledged, if it still
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -56,6 +56,7 @@
 	leased := m.leased()
 	if leased != m.own.hadLease {
 		m.own.hadLease = leased
+		m.own.lapsedAt = m.now
 		ref := m.self
 		text := "lease lapsed"
 		if leased {
--- a/internal/lease/choose.go
+++ b/internal/lease/choose.go
@@ -6,12 +6,10 @@
 	"fulmarhinge/internal/cluster"
 )
 
-// maxPerZone is how many witnesses of one availability zone a set may name
-// while there are enough zones, so that a zone's loss leaves a majority.
-const maxPerZone = 2
-
 // Choose returns the witnesses that a member should name: up to want live
-// peers of its region, an odd number of them, spread over availability zones.
+// peers of its region, an odd number of them, with a minority in each
+// availability zone while there are enough zones, so that a zone's loss leaves a
+// majority.
 // Present witnesses that are still usable stay, so that a set changes only
 // when it must. bad excludes peers that have refused or fallen silent.
 func Choose(self cluster.Member, peers []*cluster.Member, want int, bad func(cluster.MemberRef) bool) []cluster.Witness {
@@ -24,11 +22,13 @@
 	if size == 0 {
 		return nil
 	}
-	zoneCap := max(maxPerZone, (size+len(zones)-1)/len(zones))
 	sortByPreference(self, usable)
-	picked := pick(usable, size, zoneCap)
-	if len(picked) < size {
-		picked = pick(usable, size, size)
+	var picked []cluster.Witness
+	// A minority in each zone if there are enough zones, else as even as can be.
+	for _, zoneCap := range []int{max(1, (size-1)/2), (size + len(zones) - 1) / len(zones), size} {
+		if picked = pick(usable, size, zoneCap); len(picked) == size {
+			break
+		}
 	}
 	slices.SortFunc(picked, func(a, b cluster.Witness) int {
 		if a.Name < b.Name {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -197,19 +197,15 @@
 	}
 
 	chosen := Choose(self, fleet, 5, never)
-	zones := map[string]int{}
-	for _, w := range chosen {
-		for _, p := range fleet {
-			if p.Name == w.Name {
-				zones[p.Zone]++
-			}
-		}
-	}
-	for z, n := range zones {
-		if n > maxPerZone {
+	for z, n := range zonesOf(chosen, fleet) {
+		if n > len(chosen)/2 {
 			t.Fatalf("%d witnesses in zone %s", n, z)
 		}
 	}
+	three := Choose(self, []*cluster.Member{peer("d", "1"), peer("g", "1"), peer("b", "2"), peer("e", "2"), peer("c", "3")}, 3, never)
+	if zones := zonesOf(three, fleet); len(three) != 3 || len(zones) != 3 {
+		t.Fatalf("three witnesses in %d zones", len(zones))
+	}
 	self.Witnesses = chosen
 	refused := chosen[0].MemberRef
 	next := Choose(self, fleet, 5, func(r cluster.MemberRef) bool { return r == refused })
@@ -225,3 +221,16 @@
 		t.Fatalf("%d of 4 usable witnesses kept, %d named", kept, len(next))
 	}
 }
+
+// zonesOf counts witnesses by availability zone.
+func zonesOf(set []cluster.Witness, fleet []*cluster.Member) map[string]int {
+	zones := map[string]int{}
+	for _, w := range set {
+		for _, p := range fleet {
+			if p.Name == w.Name {
+				zones[p.Zone]++
+			}
+		}
+	}
+	return zones
+}
