--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -1,8 +1,10 @@
 package cli
 
 import (
+	"io/fs"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -34,6 +36,30 @@
 	}
 }
 
+// TestLinksLeadSomewhere checks the links between the pages of the repository.
+func TestLinksLeadSomewhere(t *testing.T) {
+	link := regexp.MustCompile(`\]\(([^)#:]+)(?:#[^)]*)?\)`)
+	err := filepath.WalkDir(repository, func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".md") {
+			return err
+		}
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, m := range link.FindAllStringSubmatch(string(b), -1) {
+			target := filepath.Join(filepath.Dir(path), m[1])
+			if _, err := os.Stat(target); err != nil {
+				t.Errorf("%s links to %s, which is not there", path, m[1])
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestEveryCommandIsDescribed asks for a summary of each command and an
 // example of each that does something.
 func TestEveryCommandIsDescribed(t *testing.T) {
