Pass requests on through a third node while the direct link is broken

Cause: with only the link between entry and owner cut, each request through that entry waited for its deadline (2203), as every attempt dialled the owner anew.

Now an entry that can't open a stream in a fifth of the time left, at most 500 ms, sends the head with hops=1 to one other active member, which passes the request on once, copying both streams as bytes under their windows. The entry stays off the link for 2 s and then lets a single request try it.

Ruled out: a not run said by the member in the middle after it wrote the head. It only ends its stream then, which the entry calls owner lost (unknown).

--- a/internal/backend/gate.go
+++ b/internal/backend/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,8 +53,16 @@
 
 	mu     sync.Mutex
 	server atomic.Pointer[server]
+	// passOn takes the requests of peers that are for another node; nil if
+	// this node passes nothing on.
+	passOn PassOn
 }
 
+// PassOn passes a request that came over a stream on to its owner, and returns
+// a refusal if the owner was certainly not sent anything. After a nil it has
+// passed back whatever came of the request.
+type PassOn func(ctx context.Context, head *wire.RequestHead, from net.Conn) *result.Error
+
 // NewGate returns a gate without a backend server.
 func NewGate(src *view.Source, logger hclog.Logger) *Gate {
 	return &Gate{
@@ -67,6 +76,10 @@
 // field takes its default. It is called before the first request.
 func (g *Gate) SetIdempotency(l IdempotencyLimits) { g.table = newIdempotencyTable(l) }
 
+// SetPassOn says what is done with requests that a peer wants to be passed on.
+// It is called before the first request.
+func (g *Gate) SetPassOn(p PassOn) { g.passOn = p }
+
 // SetBackend tells the gate of the present announcement; nil withdraws it.
 // Requests in flight go on.
 func (g *Gate) SetBackend(a *Announcement) {
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -41,6 +41,16 @@
 		return
 	}
 	_ = conn.SetReadDeadline(time.Time{})
+	if g.passesOn(head) {
+		// It counts as in flight, so that a planned stop lets it end.
+		g.count.total.Add(1)
+		defer g.count.total.Add(-1)
+		if refusal := g.passOn(ctx, head, conn); refusal != nil {
+			_ = conn.SetWriteDeadline(time.Now().Add(endTimeout))
+			s.refuse(head.GetId(), refusal)
+		}
+		return
+	}
 	deadline := time.Now().Add(time.Duration(head.GetDeadlineMs()) * time.Millisecond)
 	_ = conn.SetWriteDeadline(deadline.Add(endTimeout))
 	ctx, cancel := context.WithCancel(ctx)
@@ -59,6 +69,16 @@
 	s.end(result.OK)
 }
 
+// passesOn reports whether a request is for another node and may be passed on.
+func (g *Gate) passesOn(head *wire.RequestHead) bool {
+	v := g.src.Current()
+	if head.GetHops() == 0 || g.passOn == nil || v == nil {
+		return false
+	}
+	_, assigned, ok := v.Locate(head.GetService(), head.GetKey())
+	return ok && assigned.Owner != v.Self
+}
+
 func readHead(conn net.Conn) (*wire.RequestHead, error) {
 	kind, size, err := peer.ReadFrameHeader(conn)
 	if err != nil {
--- /dev/null
+++ b/internal/caller/around_test.go
@@ -0,0 +1,281 @@
+package caller
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/header"
+	"fulmarhinge/internal/peer"
+	"fulmarhinge/internal/result"
+	"fulmarhinge/internal/view"
+	"fulmarhinge/internal/wire"
+)
+
+// The direct link holds what is sent, in one direction or both, before its
+// first use: the request goes around it, and later ones do so at once.
+func TestBrokenLinkGoesAround(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		held [2]bool
+	}{
+		{"to the owner", [2]bool{true, false}},
+		{"from the owner", [2]bool{false, true}},
+		{"both ways", [2]bool{true, true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 3, keyedService, func(n *testNode) http.HandlerFunc {
+				return func(w http.ResponseWriter, r *http.Request) {
+					n.runs.Add(1)
+					k, _ := io.Copy(io.Discard, r.Body)
+					fmt.Fprintf(w, "%s %d", r.Header.Get(header.RequestID), k)
+				}
+			})
+			f.publishVia(t, via{node: 1, to: "n0"})[0].set(c.held, [2]int{-1, -1})
+			n := f.nodes[1]
+			for i, size := range []int{10, 0, 1000, 3 << 20} {
+				began := time.Now()
+				got := n.send(t, "POST", "/p/k", large(size), header.RequestTimeoutMs, "5000")
+				if want := fmt.Sprintf("%s %d", got.header.Get(header.RequestID), size); got.code != result.OK || got.body != want {
+					t.Fatalf("body of %d bytes: got %d %q, want %q, %v", size, got.code, got.body, want, got.err)
+				}
+				if got.header.Get(header.Owner) != f.nodes[0].entry.Addr() {
+					t.Fatalf("the owner is named as %q", got.header.Get(header.Owner))
+				}
+				if runs := f.nodes[0].runs.Load(); runs != int64(i+1) {
+					t.Fatalf("%d runs of %d requests", runs, i+1)
+				}
+				if took := time.Since(began); took > 2*maxOpen {
+					t.Fatalf("request %d took %v", i, took)
+				}
+			}
+		})
+	}
+}
+
+// Requests with a short deadline are not all spent on a link that is broken.
+func TestBrokenLinkLeavesTimeOfAShortDeadline(t *testing.T) {
+	f := newFleet(t, 3, keyedService, echoHandler)
+	f.publishVia(t, via{node: 1, to: "n0"})[0].cut()
+	for range 3 {
+		if got := f.nodes[1].send(t, "POST", "/p/k", strings.NewReader("b"), header.RequestTimeoutMs, "400"); got.code != result.OK {
+			t.Fatalf("got %d %s", got.code, got.body)
+		}
+	}
+}
+
+// After its time a broken link is tried by one request only, and a link that
+// works again is used.
+func TestHealedLinkIsUsedAgain(t *testing.T) {
+	f := newFleet(t, 3, keyedService, echoHandler)
+	p := f.publishVia(t, via{node: 1, to: "n0"})[0]
+	p.cut()
+	n := f.nodes[1]
+	n.send(t, "POST", "/p/k", strings.NewReader("b"))
+	ref := cluster.MemberRef{Name: "n0", Incarnation: 1}
+	if !n.entry.links.broken(ref, time.Now()) {
+		t.Fatal("the link does not count as broken")
+	}
+	later := time.Now().Add(linkBroken)
+	if !n.entry.links.claim(ref, later) || n.entry.links.claim(ref, later) {
+		t.Fatal("not just one request tries the link again")
+	}
+	p.set([2]bool{}, [2]int{-1, -1})
+	n.entry.links.get(ref).broken.Store(1)
+	if got := n.send(t, "POST", "/p/k", strings.NewReader("b")); got.code != result.OK {
+		t.Fatalf("got %d %s", got.code, got.body)
+	}
+	if n.entry.links.get(ref).broken.Load() != 0 {
+		t.Fatal("the healed link still counts as broken")
+	}
+}
+
+// A session that was in use when the link broke is noticed, and what may run
+// twice is sent again around it.
+func TestLinkBreaksUnderASession(t *testing.T) {
+	f := newFleet(t, 3, keyedService, echoHandler)
+	p := f.publishVia(t, via{node: 1, to: "n0"})[0]
+	n := f.nodes[1]
+	if got := n.send(t, "GET", "/p/k", nil); got.code != result.OK {
+		t.Fatalf("before the cut: %d %s", got.code, got.body)
+	}
+	p.cut()
+	began := time.Now()
+	got := n.send(t, "GET", "/p/k", nil, header.RequestTimeoutMs, "10000")
+	if got.code != result.OK {
+		t.Fatalf("got %d %s", got.code, got.body)
+	}
+	took := time.Since(began)
+	t.Logf("answered around the link %v after it broke", took.Round(time.Millisecond))
+	if took > 3*time.Second {
+		t.Fatal("that is too late")
+	}
+}
+
+// One of the nodes that could pass requests on can't be reached either.
+func TestUnreachableMiddleIsPassedOver(t *testing.T) {
+	f := newFleet(t, 4, keyedService, echoHandler)
+	for _, p := range f.publishVia(t, via{node: 1, to: "n0"}, via{node: 1, to: "n2"}) {
+		p.cut()
+	}
+	for i := range 5 {
+		if got := f.nodes[1].send(t, "POST", "/p/k", strings.NewReader("b"), header.RequestTimeoutMs, "5000"); got.code != result.OK {
+			t.Fatalf("request %d: got %d %s", i, got.code, got.body)
+		}
+	}
+	if runs := f.nodes[0].runs.Load(); runs != 5 {
+		t.Fatalf("%d runs of 5 requests", runs)
+	}
+}
+
+// A node in the middle that can't reach the owner either says so, and a request
+// takes no second hop.
+func TestAtMostOneHop(t *testing.T) {
+	f := newFleet(t, 3, keyedService, echoHandler)
+	for _, p := range f.publishVia(t, via{node: 1, to: "n0"}, via{node: 2, to: "n0"}) {
+		p.cut()
+	}
+	got := f.nodes[1].send(t, "POST", "/p/k", strings.NewReader("b"), header.RequestTimeoutMs, "1500")
+	if got.kind != result.NotRun.String() || f.nodes[0].runs.Load() != 0 {
+		t.Fatalf("got %d %s, %d runs", got.code, got.kind, f.nodes[0].runs.Load())
+	}
+	f.publish(func(i int, v *view.View) {
+		if i == 2 {
+			// This node holds the entry for the owner.
+			for s := range testShards {
+				v.Tables[keyedService].Shards[s].Owner = cluster.MemberRef{Name: "n1", Incarnation: 1}
+			}
+		}
+	})
+	for _, c := range []struct {
+		hops uint32
+		want result.Code
+	}{{0, result.Moved}, {1, result.Moved}, {2, result.PeerMalformed}} {
+		if code := f.ask(t, 2, c.hops); code != c.want {
+			t.Errorf("%d hops: code %d, want %d", c.hops, code, c.want)
+		}
+	}
+	if runs := f.nodes[0].runs.Load(); runs != 0 {
+		t.Fatalf("%d requests took more than one hop", runs)
+	}
+}
+
+// ask sends a head with a number of hops to a node and returns its code.
+func (f *fleet) ask(t *testing.T, node int, hops uint32) result.Code {
+	t.Helper()
+	conn, err := f.nodes[0].transport.Open(t.Context(), f.nodes[node].transport.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = conn.Write(join(frame(peer.FrameHead, &wire.RequestHead{
+		Id: "x.1", Method: "POST", Path: "/p/k", Service: keyedService, Customer: "acme", Key: "k", DeadlineMs: 3000, Hops: hops,
+	}), frame(peer.FrameEnd, &wire.BodyEnd{})))
+	_, size, err := peer.ReadFrameHeader(conn)
+	var h wire.ResponseHead
+	if err != nil || peer.ReadMessage(conn, size, &h) != nil {
+		t.Fatalf("no head: %v", err)
+	}
+	return result.Code(h.GetCode())
+}
+
+// The link before or behind the node in the middle breaks after each number of
+// bytes in either direction. A request that is not idempotent runs at most
+// once, and it is called not run only if it did not run.
+func TestMiddleBreaksAtEachStage(t *testing.T) {
+	r := &runsByID{runs: map[string]int{}}
+	f := newFleet(t, 3, keyedService, r.handler)
+	p := f.publishVia(t, via{node: 1, to: "n0"}, via{node: 1, to: "n2"}, via{node: 2, to: "n0"})
+	p[0].cut()
+	owner := cluster.MemberRef{Name: "n0", Incarnation: 1}
+	const step, most = 23, 1000
+	kinds := map[string]int{}
+	notRun := map[string]string{}
+	for _, where := range []int{1, 2} {
+		for direction := range 2 {
+			for k := 0; k < most; k += step {
+				limit := [2]int{-1, -1}
+				limit[direction] = k
+				p[where].set([2]bool{}, limit)
+				f.nodes[1].entry.links.all.Clear()
+				f.nodes[2].entry.links.all.Clear()
+				f.nodes[1].entry.links.failed(owner)
+				got := f.nodes[1].send(t, "POST", "/p/k", large(300), header.RequestTimeoutMs, "100")
+				kinds[got.kind]++
+				id := got.header.Get(header.RequestID)
+				if got.kind == result.NotRun.String() {
+					notRun[id] = fmt.Sprintf("link %d, direction %d, byte %d, code %d", where, direction, k, got.code)
+				}
+				if got.err == nil && got.code == result.OK && (got.body != "POST /p/k "+strings.Repeat("z", 300) || r.of(id) != 1) {
+					t.Fatalf("link %d, direction %d, byte %d: a cut answer was passed as whole, or %d runs", where, direction, k, r.of(id))
+				}
+			}
+			p[where].set([2]bool{}, [2]int{-1, -1})
+		}
+	}
+	eventually(t, "all requests have left the gate", func() bool { return f.nodes[0].gate.Total() == 0 })
+	r.check(t, notRun)
+	t.Logf("ended as %v", kinds)
+	if kinds["unknown"] == 0 || kinds["not-run"] == 0 || kinds["answered"] == 0 {
+		t.Fatalf("the stages were not all met: %v", kinds)
+	}
+}
+
+// runsByID counts runs by request id.
+type runsByID struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (r *runsByID) of(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
+func (r *runsByID) handler(n *testNode) http.HandlerFunc {
+	echo := echoHandler(n)
+	return func(w http.ResponseWriter, req *http.Request) {
+		r.mu.Lock()
+		r.runs[req.Header.Get(header.RequestID)]++
+		r.mu.Unlock()
+		echo(w, req)
+	}
+}
+
+// check fails if a request ran twice, or ran and was called not run.
+func (r *runsByID) check(t *testing.T, notRun map[string]string) {
+	t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, n := range r.runs {
+		if n > 1 {
+			t.Errorf("request %s ran %d times", id, n)
+		}
+		if where, said := notRun[id]; said {
+			t.Errorf("request %s was called not run and ran: %s", id, where)
+		}
+	}
+}
+
+// A large answer passes through the node in the middle without being held.
+func TestLargeAnswerThroughTheMiddleIsNotHeldInMemory(t *testing.T) {
+	const size, bound = downloadSize, 24 << 20
+	f := newFleet(t, 3, keyedService, largeAnswer(size))
+	f.publishVia(t, via{node: 1, to: "n0"})[0].cut()
+	runtime.GC()
+	var before runtime.MemStats
+	runtime.ReadMemStats(&before)
+	got, peak := f.nodes[1].download(t, "/p/k", before.HeapAlloc)
+	t.Logf("%d MB over three nodes raised the heap by %d KB", size>>20, peak>>10)
+	if got != size || peak > bound {
+		t.Fatalf("%d bytes of %d arrived, the heap grew by %d", got, size, peak)
+	}
+}
--- /dev/null
+++ b/internal/caller/proxy_test.go
@@ -0,0 +1,136 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"fulmarhinge/internal/view"
+)
+
+// linkProxy stands on the link to one node. It can hold what flows in a
+// direction, as a cut network does, or break each connection after a number of
+// bytes.
+type linkProxy struct {
+	net.Listener
+	to string
+
+	mu sync.Mutex
+	// held is by direction: 0 for what is sent to the node, 1 for what comes back.
+	held [2]bool
+	// limit is how many bytes pass on each new connection; -1 for all.
+	limit [2]int
+}
+
+func newLinkProxy(t *testing.T, to string) *linkProxy {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &linkProxy{Listener: ln, to: to, limit: [2]int{-1, -1}}
+	t.Cleanup(func() { _ = ln.Close() })
+	go p.serve(t.Context())
+	return p
+}
+
+func (p *linkProxy) addr() string { return p.Addr().String() }
+
+func (p *linkProxy) serve(ctx context.Context) {
+	for {
+		in, err := p.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", p.to)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		context.AfterFunc(ctx, func() {
+			_ = in.Close()
+			_ = out.Close()
+		})
+		p.mu.Lock()
+		limit := p.limit
+		p.mu.Unlock()
+		go p.relay(out, in, 0, limit[0])
+		go p.relay(in, out, 1, limit[1])
+	}
+}
+
+func (p *linkProxy) relay(to, from net.Conn, direction, limit int) {
+	defer to.Close()
+	defer from.Close()
+	buf := make([]byte, 32<<10)
+	for limit != 0 {
+		room := buf
+		if limit > 0 {
+			room = buf[:min(limit, len(buf))]
+		}
+		n, err := from.Read(room)
+		if err != nil || !p.passes(direction) {
+			return
+		}
+		if _, err = to.Write(room[:n]); err != nil {
+			return
+		}
+		if limit > 0 {
+			limit -= n
+		}
+	}
+}
+
+// passes waits while the direction is held; it returns false if that is long.
+func (p *linkProxy) passes(direction int) bool {
+	for range 10_000 {
+		p.mu.Lock()
+		held := p.held[direction]
+		p.mu.Unlock()
+		if !held {
+			return true
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return false
+}
+
+func (p *linkProxy) set(held [2]bool, limit [2]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held, p.limit = held, limit
+}
+
+func (p *linkProxy) cut() { p.set([2]bool{true, true}, [2]int{-1, -1}) }
+
+// via makes node i reach another one through a proxy of its own.
+type via struct {
+	node  int
+	to    string
+	proxy *linkProxy
+}
+
+func (f *fleet) publishVia(t *testing.T, links ...via) []*linkProxy {
+	t.Helper()
+	var proxies []*linkProxy
+	for i := range links {
+		var to string
+		for _, n := range f.nodes {
+			if n.name == links[i].to {
+				to = n.transport.Addr()
+			}
+		}
+		links[i].proxy = newLinkProxy(t, to)
+		proxies = append(proxies, links[i].proxy)
+	}
+	f.publish(func(i int, v *view.View) {
+		for _, l := range links {
+			if l.node == i {
+				v.Members[l.to].PeerAddr = l.proxy.addr()
+			}
+		}
+	})
+	return proxies
+}
--- a/internal/caller/remote.go
+++ b/internal/caller/remote.go
@@ -39,18 +39,22 @@
 	if m.Name == v.Self.Name {
 		return s.gate.Do(ctx, head, t.request.body.reader(), t.answer)
 	}
-	return s.forward(ctx, m.PeerAddr, head, t)
+	if t.request.service.DividedByKey {
+		return s.reach(ctx, v, t, head, m)
+	}
+	return s.direct(ctx, t, head, m)
 }
 
-// forward sends the request over a stream of its own.
-func (s *Server) forward(ctx context.Context, addr string, head *wire.RequestHead, t *attempts) *result.Error {
-	conn, err := s.transport.Open(ctx, addr)
-	if err != nil {
-		if ctx.Err() != nil {
-			return ended(ctx, nil)
-		}
-		return result.New(result.PeerUnreachable)
+// notOpened is the refusal of a request for which no stream could be had.
+func notOpened(ctx context.Context) *result.Error {
+	if ctx.Err() != nil {
+		return ended(ctx, nil)
 	}
+	return result.New(result.PeerUnreachable)
+}
+
+// forward sends the request over a stream of its own.
+func (s *Server) forward(ctx context.Context, conn net.Conn, head *wire.RequestHead, t *attempts) *result.Error {
 	defer conn.Close()
 	deadline, _ := ctx.Deadline()
 	_ = conn.SetDeadline(deadline.Add(answerGrace))
@@ -63,7 +67,7 @@
 	head.DeadlineMs = uint64(max((time.Until(deadline) - hopTime).Milliseconds(), 1))
 	x := &exchange{conn: conn, attempts: t, abort: make(chan struct{}), proceed: make(chan struct{})}
 	defer close(x.abort)
-	if err = x.send(head); err != nil {
+	if err := x.send(head); err != nil {
 		return x.broken(ctx)
 	}
 	return x.receive(ctx)
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -93,9 +93,12 @@
 	request *request
 	answer  *answer
 	// tried holds the members at which an attempt failed.
-	tried   map[string]bool
-	backoff time.Duration
-	waiting bool
+	tried map[string]bool
+	// failedZone is the availability zone of the member that could not be
+	// reached last; empty if none.
+	failedZone string
+	backoff    time.Duration
+	waiting    bool
 	// mayHaveRun is the result of an attempt after which the request may have
 	// run; once it is set the request is never called not run.
 	mayHaveRun *result.Error
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -90,6 +90,7 @@
 	pool       *pool
 	budget     *budget
 	room       *waitroom.Room
+	links      *links
 }
 
 // New returns an entry that is not listening yet.
@@ -99,7 +100,9 @@
 	s := &Server{
 		cfg: cfg, src: src, transport: transport, gate: gate, admitter: admitter,
 		log: logger.Named("caller"), pool: newPool(), budget: newBudget(), room: waitroom.New(),
+		links: &links{},
 	}
+	gate.SetPassOn(s.passOn)
 	s.http = &http.Server{
 		Handler:           s,
 		MaxHeaderBytes:    cfg.Limits.MaxHeader * headerSlack,
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -36,6 +36,22 @@
 	return stream, nil
 }
 
+// Connected reports whether an open traffic session to the peer at addr exists,
+// so that Open would not dial.
+func (t *Transport) Connected(addr string) bool {
+	r, ok := t.routes.Load(addr)
+	if !ok {
+		return false
+	}
+	return r.(*route).open()
+}
+
+func (r *route) open() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mux != nil && !r.mux.IsClosed()
+}
+
 func (t *Transport) route(addr string) *route {
 	if r, ok := t.routes.Load(addr); ok {
 		return r.(*route)
