--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -19,8 +19,10 @@
 // Headers of the stand-in's own protocol.
 const (
 	headerWorkMs = "X-Work-Ms"
-	headerShed   = "Fulmarhinge-Shed"
-	headerFence  = "Fulmarhinge-Fence"
+	// headerAttempt has the load generator's id of one sending of a request.
+	headerAttempt = "X-Attempt"
+	headerShed    = "Fulmarhinge-Shed"
+	headerFence   = "Fulmarhinge-Fence"
 )
 
 // coldFactor is how much longer work takes during a cold start.
@@ -241,7 +243,7 @@
 		Server:         s.opts.server,
 		RequestID:      r.Header.Get(headerRequestID),
 		ClientID:       r.URL.Query().Get("id"),
-		Attempt:        r.URL.Query().Get("attempt"),
+		Attempt:        r.Header.Get(headerAttempt),
 		Method:         r.Method,
 		IdempotencyKey: r.Header.Get(headerIdempotencyKey),
 		Customer:       r.Header.Get(headerCustomer),
--- a/test/fault/harness/client.go
+++ b/test/fault/harness/client.go
@@ -21,6 +21,7 @@
 	headerCustomer       = "Customer"
 	headerIdempotencyKey = "Idempotency-Key"
 	headerWorkMs         = "X-Work-Ms"
+	headerAttempt        = "X-Attempt"
 	headerCode           = "Fulmarhinge-Code"
 	headerResult         = "Fulmarhinge-Result"
 	headerOwner          = "Fulmarhinge-Owner"
@@ -143,7 +144,7 @@
 }
 
 func (c Call) request(ctx context.Context, entry string) (*http.Request, error) {
-	q := url.Values{"id": {c.ID}, "attempt": {c.Attempt}, "size": {strconv.FormatInt(c.Size, 10)}}
+	q := url.Values{"id": {c.ID}, "size": {strconv.FormatInt(c.Size, 10)}}
 	target := fmt.Sprintf("http://%s%s?%s", entry, c.Path, q.Encode())
 	method := http.MethodGet
 	var body io.Reader
@@ -158,6 +159,9 @@
 	// Without a second body the client library never sends a POST again.
 	req.GetBody = nil
 	req.Header.Set(headerCustomer, c.Customer)
+	// Not in the URL: a repetition under one idempotency key must be the same
+	// request.
+	req.Header.Set(headerAttempt, c.Attempt)
 	if c.IdempotencyKey != "" {
 		req.Header.Set(headerIdempotencyKey, c.IdempotencyKey)
 	}
