--- a/internal/caller/around_test.go
+++ b/internal/caller/around_test.go
@@ -10,6 +10,9 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+
+	"fulmarhinge/internal/backend"
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/header"
 	"fulmarhinge/internal/peer"
@@ -279,3 +282,39 @@
 		t.Fatalf("%d bytes of %d arrived, the heap grew by %d", got, size, peak)
 	}
 }
+
+// The node in the middle breaks while the request runs. With an idempotency key
+// the entry asks again through another one, and the caller gets the answer of
+// the only run.
+func TestBrokenMiddleWithKeyFetchesTheAnswerOfTheOnlyRun(t *testing.T) {
+	ran := make(chan struct{}, 10)
+	f := newFleet(t, 4, keyedService, func(n *testNode) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			n.runs.Add(1)
+			ran <- struct{}{}
+			time.Sleep(50 * time.Millisecond)
+			fmt.Fprint(w, "charged")
+		}
+	})
+	f.nodes[0].gate.SetIdempotency(backend.IdempotencyLimits{ClockBound: time.Nanosecond})
+	time.Sleep(3 * time.Millisecond)
+	f.publishVia(t, via{node: 1, to: "n0"})[0].cut()
+	key, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	answered := make(chan reply, 1)
+	go func() {
+		answered <- f.nodes[1].send(t, "POST", "/p/k", strings.NewReader("b"), header.IdempotencyKey, key.String())
+	}()
+	<-ran
+	for _, n := range f.nodes[2:] {
+		if n.gate.Total() > 0 {
+			n.transport.Close()
+		}
+	}
+	got := <-answered
+	if got.code != result.OK || got.body != "charged" || f.nodes[0].runs.Load() != 1 {
+		t.Fatalf("got %d %q, %d runs", got.code, got.body, f.nodes[0].runs.Load())
+	}
+}
