--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 	go run ./test/bench/limits
 	go run ./test/bench/placement --out bench-out/placement.json
 	go run ./test/bench/fleet
+	go run ./test/bench/baseline --out bench-out/baseline.json
 	go run ./test/bench/configuration --out bench-out/configuration.json
 	go run ./test/bench/cost --out bench-out/cost.json
 
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,6 +1,6 @@
-// Package clock reads the clock that leases are measured on. It keeps counting
-// while the machine is suspended and is never set, so a process that was
-// paused finds its lease lapsed before it does anything else.
+// Package clock reads the clock that leases are measured on: the time since the
+// machine's boot, suspension included, which nobody can set. After a pause of any
+// kind the first reading already shows that a lease has ended.
 package clock
 
 import (
--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -141,21 +140,12 @@
 		if !strings.HasPrefix(k, cluster.ConfigPrefix) || k == cluster.ConfigHeadKey {
 			continue
 		}
-		if !slices.Contains(sortedValues(m.head.Parts), k) {
+		if !m.namesPart(k) {
 			delete(m.objects, k)
 		}
 	}
 }
 
-func sortedValues(set map[string]string) []string {
-	out := make([]string, 0, len(set))
-	for _, v := range set {
-		out = append(out, v)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // admitting reports whether the node may admit requests, and if not, why.
 func (m *Machine) admitting() (bool, string) {
 	if m.config == nil {
@@ -176,5 +166,15 @@
 	if !strings.HasPrefix(key, cluster.ConfigPrefix) || key == cluster.ConfigHeadKey {
 		return false
 	}
-	return !slices.Contains(sortedValues(m.head.Parts), key)
+	return !m.namesPart(key)
+}
+
+// namesPart reports whether the known head names a part.
+func (m *Machine) namesPart(key string) bool {
+	for _, k := range m.head.Parts {
+		if k == key {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -59,14 +60,9 @@
 	}
 }
 
-func sortedNames[T any](set map[string]T) []string {
-	out := make([]string, 0, len(set))
-	for n := range set {
-		out = append(out, n)
-	}
-	slices.Sort(out)
-	return out
-}
+// sortedNames returns the keys of a map in their order, so that equal steps give
+// equal output.
+func sortedNames[T any](set map[string]T) []string { return slices.Sorted(maps.Keys(set)) }
 
 func (m *Machine) serviceControl(name string) *serviceControl {
 	c := m.control[name]
--- a/internal/control/derived.go
+++ b/internal/control/derived.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"fulmarhinge/internal/cluster"
 )
@@ -45,12 +46,7 @@
 	for _, p := range m.members {
 		out = append(out, p)
 	}
-	slices.SortFunc(out, func(a, b *cluster.Member) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b *cluster.Member) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
@@ -69,7 +65,7 @@
 		}
 	}
 	delete(set, m.self.Name)
-	return sortedKeys(set)
+	return sortedNames(set)
 }
 
 // controllers returns the members that may control a service, best first:
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"fulmarhinge/internal/clock"
@@ -63,26 +64,12 @@
 
 // flushGossip turns what was noted into one message for each neighbour.
 func (m *Machine) flushGossip() {
-	names := make([]string, 0, len(m.out))
-	for n := range m.out {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	for _, n := range names {
-		m.announce(n, sortedKeys(m.out[n]))
+	for _, n := range sortedNames(m.out) {
+		m.announce(n, sortedNames(m.out[n]))
 	}
 	m.out = map[string]map[string]bool{}
 }
 
-func sortedKeys(set map[string]bool) []string {
-	out := make([]string, 0, len(set))
-	for k := range set {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // announce sends small objects whole, and the versions of the others.
 func (m *Machine) announce(to string, keys []string) {
 	var small []*wire.Object
@@ -201,11 +188,6 @@
 			have = append(have, &wire.KeyVersion{Key: k, Version: o.version})
 		}
 	}
-	slices.SortFunc(have, func(a, b *wire.KeyVersion) int {
-		if a.Key < b.Key {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(have, func(a, b *wire.KeyVersion) int { return strings.Compare(a.Key, b.Key) })
 	m.sendTo(peer, &wire.Control{Body: &wire.Control_Versions{Versions: &wire.Versions{Have: have, WantReply: true}}})
 }
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -115,7 +115,7 @@
 }
 
 func (m *Machine) buildReport(service string) *wire.LoadReport {
-	r := &wire.LoadReport{PeriodMs: uint64(m.reportPeriod().Milliseconds())}
+	r := &wire.LoadReport{}
 	add := func(u cluster.Unit, epoch uint64) {
 		r.Units = append(r.Units, &wire.UnitLoad{
 			Service: u.Service, Shard: uint32(u.Shard), Key: u.Key, Rate: m.units.rates[u], Epoch: epoch,
--- a/internal/control/units.go
+++ b/internal/control/units.go
@@ -61,20 +61,11 @@
 
 // adoptGroups takes the known groups into a new incarnation.
 func (m *Machine) adoptGroups() {
-	for _, k := range m.groupKeys() {
+	for _, k := range sortedNames(m.groups) {
 		m.adoptGroup(m.groups[k])
 	}
 }
 
-func (m *Machine) groupKeys() []string {
-	out := make([]string, 0, len(m.groups))
-	for k := range m.groups {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
-
 func (m *Machine) adoptGroup(g *cluster.Group) {
 	for i := range g.Shards {
 		m.adopt(cluster.Unit{Service: g.Service, Shard: g.First + i}, &g.Shards[i], 0)
--- a/internal/lease/choose.go
+++ b/internal/lease/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"fulmarhinge/internal/cluster"
 )
@@ -30,12 +31,7 @@
 			break
 		}
 	}
-	slices.SortFunc(picked, func(a, b cluster.Witness) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(picked, func(a, b cluster.Witness) int { return strings.Compare(a.Name, b.Name) })
 	return picked
 }
 
--- a/internal/lease/witness.go
+++ b/internal/lease/witness.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"fulmarhinge/internal/clock"
@@ -79,12 +80,7 @@
 			out = append(out, Lapse{Holder: h, Since: t})
 		}
 	}
-	slices.SortFunc(out, func(a, b Lapse) int {
-		if a.Holder.Name < b.Holder.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b Lapse) int { return strings.Compare(a.Holder.Name, b.Holder.Name) })
 	return out
 }
 
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -7,9 +7,9 @@
  * lapsed from a majority. A peer evicts the holder by gathering the votes of a
  * majority and updating the member object against the version that named them.
  *
- * Time is one rule: a promise lapses at the witness only after all that the
- * holder has of it, counted or still under way, has lapsed at the holder. The
- * lease gives this by counting from the sending time, less the drift margin.
+ * Time is one rule: whatever the holder has of a promise, counted or still under
+ * way, ends before the promise does at its witness. The lease gives this by
+ * counting from the sending time, less the drift margin.
  *
  * Bounds: one holder incarnation and its replacement by a restart, one
  * evictor, four witnesses of which each set has three, two set changes. Not
