Change witnesses without losing the lease

From the write on, the lease needs a majority of the new set, which had not been asked yet: three lapses within 2 s. Then witnesses that were named again held their old, lapsed promise against it and evicted it alive.

Change: a new set is asked before it is named (at most one renewal period); naming a witness starts its timer anew, and it drops a lapsed promise to a holder that no longer names it; the first renewal to a witness is extended whatever its round.

Ruled out: a longer promise (the take-over after a loss would pay for it).

Failing first: TestChangesOfWitnessesCostNoLease counted 10 lapses and 2 evictions of living nodes at 4 nodes; now 0 and 0 at 4 to 7 nodes, three stops and starts each.

--- a/internal/control/evict.go
+++ b/internal/control/evict.go
@@ -52,6 +52,7 @@
 	for _, l := range m.witness.Lapsed(m.now) {
 		mem := m.members[l.Holder.Name]
 		if mem == nil || mem.MemberRef != l.Holder || mem.State.Gone() || !m.namesMe(mem) {
+			m.witness.Unwatch(l.Holder)
 			continue
 		}
 		wait := time.Duration(m.witnessRank(mem)) * evictStagger
--- /dev/null
+++ b/internal/control/flap_test.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"fulmarhinge/internal/cluster"
+)
+
+// lapses counts how often a node that dispatched a step before can't any more
+// while it still serves, and evictions of nodes that nobody stopped.
+func (f *fleet) lapses(d time.Duration, left *simNode) (int, int) {
+	lapsed, evicted := 0, 0
+	had := map[string]bool{}
+	incarnation := map[string]uint64{}
+	for end := f.now + d; f.now < end && f.failure == ""; {
+		f.advance(quantum)
+		for _, s := range f.nodes {
+			if s == left || s.view == nil || s.m.phase != phaseJoined {
+				continue
+			}
+			holds := s.lease > f.local(s)
+			if had[s.name] && !holds {
+				lapsed++
+			}
+			had[s.name] = holds
+			if old := incarnation[s.name]; old != 0 && s.m.self.Incarnation > old {
+				evicted++
+			}
+			incarnation[s.name] = s.m.self.Incarnation
+		}
+	}
+	return lapsed, evicted
+}
+
+// In a small fleet a planned stop, and the start that follows it, make nodes
+// change most of their witnesses. No living node may lose its lease by that.
+func TestChangesOfWitnessesCostNoLease(t *testing.T) {
+	for _, n := range []int{4, 5, 6, 7} {
+		f := settled(t, n, true)
+		for round := range 3 {
+			s := f.nodes[round]
+			s.m.Step(f.local(s), DrainRequested{})
+			lapsed, evicted := f.lapses(6*time.Second, s)
+			if !s.done {
+				t.Fatalf("%d nodes: the stop did not end", n)
+			}
+			f.start(s)
+			more, evictedMore := f.lapses(6*time.Second, s)
+			if lapsed+more > 0 || evicted+evictedMore > 0 {
+				t.Fatalf("%d nodes, round %d: %d leases lapsed, %d living nodes evicted", n, round, lapsed+more, evicted+evictedMore)
+			}
+		}
+		if f.failure != "" {
+			t.Fatal(f.failure)
+		}
+	}
+}
+
+// A witness that is named again must not hold an old, lapsed promise against
+// the holder.
+func TestWitnessNamedAgainStartsAnew(t *testing.T) {
+	f := settled(t, 7, true)
+	holder := cluster.MemberRef{Name: "other", Incarnation: 1}
+	w := f.nodes[0].m.witness
+	now := f.local(f.nodes[0])
+	w.Watch(now, holder)
+	later := now.Add(time.Minute)
+	w.Watch(later, holder)
+	if got := w.Lapsed(later); len(got) > 0 && got[0].Holder == holder {
+		t.Fatal("the earlier promise counts as lapsed")
+	}
+}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -47,9 +47,12 @@
 	rejoins     int
 	hadLease    bool
 	// lapsedAt is since when there is no lease, if there is none.
-	lapsedAt  clock.Mono
-	chosen    []cluster.Witness
-	chosenFor choice
+	lapsedAt clock.Mono
+	chosen   []cluster.Witness
+	// prospect is the set that is asked before it is named, since prospectAt.
+	prospect   []cluster.Witness
+	prospectAt clock.Mono
+	chosenFor  choice
 }
 
 // membership holds what the node decides from the list of members.
@@ -75,12 +78,34 @@
 	}
 	present := m.members[m.params.Self.Name]
 	want := m.desired(present)
+	if !sameSet(want.Witnesses, present.Witnesses) && !m.warm(want.Witnesses) {
+		want.Witnesses = present.Witnesses
+	}
 	if sameMember(present, want) {
 		return
 	}
 	m.writeSelf(key, want)
 }
 
+// warm reports whether a set may be named without losing the lease on the way:
+// from the write on, a majority of it is needed. Its witnesses are asked first,
+// and waited for a little.
+func (m *Machine) warm(set []cluster.Witness) bool {
+	if !m.leased() || len(set) == 0 {
+		return true
+	}
+	if !sameSet(set, m.own.prospect) {
+		m.own.prospect = set
+		m.own.prospectAt = m.now
+		m.holder.SetProspect(set)
+		m.nextRenew = m.now
+	}
+	if m.holder.ProspectUntil() > m.now.Add(m.params.Lease.Promise/2) {
+		return true
+	}
+	return m.own.prospectAt.Add(m.params.Lease.Renew) <= m.now
+}
+
 // join writes the first object of a new incarnation. Another incarnation that
 // may still be alive is left to its witnesses, unless it ran on this same
 // boot of this VM and at this address: this process has bound the address, so
@@ -288,6 +313,8 @@
 // is in the object is the only one.
 func (m *Machine) onOwnMember(mem *cluster.Member) {
 	m.own.pendingSets = nil
+	m.own.prospect = nil
+	m.holder.SetProspect(nil)
 	m.membersChanged()
 	m.own.retryAt = min(m.own.retryAt, m.now)
 	if m.phase == phaseJoining && m.isOurJoin(mem) {
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -15,7 +15,7 @@
 		return nil
 	}
 	all := slices.Clone(present.Witnesses)
-	for _, s := range m.own.pendingSets {
+	for _, s := range append(m.own.pendingSets[:len(m.own.pendingSets):len(m.own.pendingSets)], m.own.prospect) {
 		for _, w := range s {
 			if !slices.Contains(all, w) {
 				all = append(all, w)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -50,6 +50,8 @@
 	acked   map[cluster.MemberRef]clock.Mono
 	heard   map[cluster.MemberRef]uint64
 	refused map[cluster.MemberRef]bool
+	// prospect is a set that may be named next.
+	prospect []cluster.MemberRef
 }
 
 // NewHolder returns a holder without witnesses and without a lease.
@@ -70,19 +72,33 @@
 func (h *Holder) SetWitnesses(sets ...[]cluster.Witness) {
 	h.sets = h.sets[:0:0]
 	for _, s := range sets {
-		refs := make([]cluster.MemberRef, 0, len(s))
-		for _, w := range s {
-			refs = append(refs, w.MemberRef)
-		}
-		h.sets = append(h.sets, refs)
+		h.sets = append(h.sets, refsOf(s))
 	}
 	h.forgetOthers()
 }
 
+// SetProspect names a set that the holder may change to. Its answers are kept,
+// but the lease does not need them.
+func (h *Holder) SetProspect(set []cluster.Witness) {
+	h.prospect = refsOf(set)
+	h.forgetOthers()
+}
+
+// ProspectUntil returns until when a majority of the prospect has promised.
+func (h *Holder) ProspectUntil() clock.Mono { return h.untilOf(h.prospect) }
+
+func refsOf(set []cluster.Witness) []cluster.MemberRef {
+	refs := make([]cluster.MemberRef, 0, len(set))
+	for _, w := range set {
+		refs = append(refs, w.MemberRef)
+	}
+	return refs
+}
+
 // forgetOthers drops what is known of peers that are in no set any more.
 func (h *Holder) forgetOthers() {
 	in := map[cluster.MemberRef]bool{}
-	for _, s := range h.sets {
+	for _, s := range append(h.sets[:len(h.sets):len(h.sets)], h.prospect) {
 		for _, r := range s {
 			in[r] = true
 		}
@@ -150,7 +166,7 @@
 			return true
 		}
 	}
-	return false
+	return slices.Contains(h.prospect, w)
 }
 
 // RefusedBy reports whether the witness has voted against this holder.
--- a/internal/lease/witness.go
+++ b/internal/lease/witness.go
@@ -16,6 +16,9 @@
 	params   Params
 	promised map[cluster.MemberRef]clock.Mono
 	voted    map[cluster.MemberRef]bool
+	// first is the round that each holder first asked this witness in, since
+	// it was last named.
+	first map[cluster.MemberRef]uint64
 }
 
 // NewWitness returns a witness that has promised nothing.
@@ -24,6 +27,7 @@
 		params:   p,
 		promised: map[cluster.MemberRef]clock.Mono{},
 		voted:    map[cluster.MemberRef]bool{},
+		first:    map[cluster.MemberRef]uint64{},
 	}
 }
 
@@ -44,22 +48,35 @@
 	if w.voted[holder] {
 		return Answer{Seq: r.Seq, Refused: true}
 	}
-	if r.Seq > r.Heard+MaxUnheard || r.Promise > MaxPromise {
+	first, known := w.first[holder]
+	if !known {
+		first = r.Seq
+		w.first[holder] = first
+	}
+	if r.Seq > max(r.Heard, first)+MaxUnheard || r.Promise > MaxPromise {
 		return Answer{Seq: r.Seq}
 	}
 	w.promised[holder] = max(w.promised[holder], now.Add(r.Promise))
 	return Answer{Seq: r.Seq, Extended: true}
 }
 
-// Watch starts the timer of a holder that has named this witness and has not
-// renewed yet, so that one that dies at once is still noticed. It promises
-// nothing beyond what a first renewal would.
+// Watch starts the timer of a holder that names this witness, so that one that
+// dies before its first renewal is still noticed. It promises nothing beyond
+// what a first renewal would. A promise of an earlier naming that has lapsed
+// says nothing of the holder now.
 func (w *Witness) Watch(now clock.Mono, holder cluster.MemberRef) {
-	if _, ok := w.promised[holder]; !ok {
+	if w.promised[holder] <= now {
 		w.promised[holder] = now.Add(w.params.Promise)
 	}
 }
 
+// Unwatch drops the timer of a holder that does not name this witness any more
+// and whose promise has lapsed. A vote against it stays.
+func (w *Witness) Unwatch(holder cluster.MemberRef) {
+	delete(w.promised, holder)
+	delete(w.first, holder)
+}
+
 // Vote asks for a vote against the holder. It is given once every promise has
 // lapsed, and is final: after it, no renewal of this incarnation is answered
 // with a promise, since the eviction may succeed at any later time.
@@ -95,7 +112,7 @@
 
 // Forget drops a holder that can never serve again.
 func (w *Witness) Forget(holder cluster.MemberRef) {
-	delete(w.promised, holder)
+	w.Unwatch(holder)
 	delete(w.voted, holder)
 }
 
