Let the leader's next process resume the term in an outage

Now a leader without an answer for 2 s, or one that stops, promises its followers to write nothing until they know better. The next process at its address leads on once a majority shows it its stamp and one of them still sees the promise, which shows that its document is the last one. It renews and writes nothing but a claim of the next term.

Ruled out: resuming on a majority alone. The earlier process may have resigned or changed the members in a write that no follower knows of; hold.pml finds that (RESUMES_WITHOUT_PROMISE, WRITES_UNDER_PROMISE).

--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -56,6 +56,15 @@
 	// nudged is when a silent member was last sent the document.
 	nudged  map[string]clock.Mono
 	balance balanceState
+	// term is the one that is led.
+	term uint64
+	// resumed is true if an earlier process of this node won the term: this one
+	// renews leases and writes nothing but a claim of the next term.
+	resumed bool
+	// unanswered is true if the platform's last call failed.
+	unanswered bool
+	// promisedAt is when a member was last promised that nothing is written.
+	promisedAt map[string]clock.Mono
 }
 
 // adoption is a new incarnation of a member that the document does not list.
@@ -136,19 +145,26 @@
 
 // confirm takes a write that made or kept this node the leader.
 func (m *Machine) confirm(sentAt clock.Mono) {
-	if m.lead == nil {
-		m.lead = &leadership{
-			claimedAt: m.now, statuses: map[string]*heardStatus{}, evictedAt: map[string]clock.Mono{},
-			readySince: map[string]clock.Mono{}, electorate: m.doc.names(), clean: m.predecessorEnded,
-			adopted: map[string]adoption{}, nudged: map[string]clock.Mono{},
-		}
+	if m.lead == nil || m.lead.term != m.doc.Term {
+		m.lead = m.newLeadership()
+		m.lead.clean = m.predecessorEnded
+		m.resuming = nil
 		m.note("leadership held", "term", m.doc.Term, "version", m.version, "members", len(m.doc.Members))
 		m.hurry()
 	}
 	m.lead.proofAt = max(m.lead.proofAt, sentAt)
+	m.lead.unanswered = false
 	m.noteEvicted()
 }
 
+func (m *Machine) newLeadership() *leadership {
+	return &leadership{
+		term: m.doc.Term, claimedAt: m.now, statuses: map[string]*heardStatus{}, evictedAt: map[string]clock.Mono{},
+		readySince: map[string]clock.Mono{}, electorate: m.doc.names(),
+		adopted: map[string]adoption{}, nudged: map[string]clock.Mono{}, promisedAt: map[string]clock.Mono{},
+	}
+}
+
 func (m *Machine) stepDown() {
 	m.lead = nil
 	m.lease.heard = m.now
@@ -181,7 +197,11 @@
 }
 
 func (m *Machine) statusFromPeer(e Message, s *wire.NodeStatus) {
-	if m.lead == nil || m.doc == nil {
+	if m.doc == nil {
+		return
+	}
+	if m.lead == nil {
+		m.probe(e, s)
 		return
 	}
 	if s.GetTerm() > m.doc.Term {
@@ -198,11 +218,8 @@
 	if mem != nil && mem.Incarnation > incarnation {
 		return
 	}
-	heard := &heardStatus{NodeStatus: s, incarnation: incarnation, at: m.now}
-	if s.GetVerified() && s.GetTerm() == m.doc.Term {
-		heard.echoAt = clock.Mono(s.GetEcho())
-	}
-	if name == m.p.Self.Name {
+	heard := m.heard(incarnation, s)
+	if name == m.p.Self.Name && !m.lead.resumed {
 		heard.echoAt = m.now
 	}
 	if old := m.lead.statuses[name]; old != nil && old.incarnation == incarnation && old.GetSeq() > s.GetSeq() {
@@ -213,16 +230,21 @@
 	}
 	m.lead.statuses[name] = heard
 	m.countMajority()
+	m.lead.kept(name, heard)
 	renewed := mem != nil && !mem.Evicted && (mem.Incarnation == incarnation && m.valid() || m.adopts(mem, incarnation, s))
 	if name == m.p.Self.Name {
 		if renewed {
-			m.extend(m.now)
+			m.renewOwn(mem)
 		}
 		return
 	}
+	promised := m.mayPromise()
+	if promised {
+		m.lead.promisedAt[name] = m.now
+	}
 	m.send(s.GetPeerAddr(), &wire.Control{Body: &wire.Control_StatusAnswer{StatusAnswer: &wire.StatusAnswer{
 		Seq: s.GetSeq(), Term: m.doc.Term, Renewed: renewed, DocumentVersion: m.version, Stamp: int64(m.now),
-		Unproven: m.unproven(),
+		Unproven: m.unproven(), Promised: promised, ProofAgeMs: m.now.Sub(m.lead.proofAt).Milliseconds() + 1,
 	}}})
 	if s.GetDocumentVersion() < m.version {
 		m.send(s.GetPeerAddr(), m.news(s.GetDocumentVersion()))
@@ -232,6 +254,23 @@
 	}
 }
 
+// heard returns a status as it came in now.
+func (m *Machine) heard(incarnation uint64, s *wire.NodeStatus) *heardStatus {
+	h := &heardStatus{NodeStatus: s, incarnation: incarnation, at: m.now}
+	if s.GetVerified() && s.GetTerm() == m.doc.Term && s.GetEchoFrom() == m.p.Self.Incarnation {
+		h.echoAt = clock.Mono(s.GetEcho())
+	}
+	return h
+}
+
+// renewOwn extends the lease of the node that leads.
+func (m *Machine) renewOwn(listed *Member) {
+	if listed.MemberRef != m.p.Self {
+		m.lease.adoptedIn = m.version
+	}
+	m.extend(m.now)
+}
+
 // countMajority notes when a majority of the members at the claim follows.
 func (m *Machine) countMajority() {
 	if m.lead.majorityAt > 0 {
@@ -268,17 +307,17 @@
 // at a time after the given one. It must be one of the members that a later
 // leader would count as well, if an undecided write has taken effect.
 func (m *Machine) followedSince(at clock.Mono) bool {
-	if !m.majority(m.doc, at) {
+	if !m.lead.majority(m.doc, at) {
 		return false
 	}
 	u := m.undecided()
-	return u == nil || m.majority(u, at)
+	return u == nil || m.lead.majority(u, at)
 }
 
-func (m *Machine) majority(doc *Document, at clock.Mono) bool {
+func (l *leadership) majority(doc *Document, at clock.Mono) bool {
 	n := 0
 	for name := range doc.Members {
-		if s := m.lead.statuses[name]; s != nil && s.echoAt > max(at, 0) {
+		if s := l.statuses[name]; s != nil && s.echoAt > max(at, 0) {
 			n++
 		}
 	}
@@ -386,10 +425,16 @@
 		m.read(proofEvery)
 	}
 	m.nudge()
-	if m.pending != nil || m.lead.nextPlan > m.now {
+	if m.pending != nil || m.lead.nextPlan > m.now || m.bound() {
 		return
 	}
 	m.lead.nextPlan = m.now.Add(planEvery)
+	if m.lead.resumed {
+		if m.verified {
+			m.claim()
+		}
+		return
+	}
 	if m.stopping {
 		doc := m.doc.clone()
 		doc.Resigned = true
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -101,6 +101,9 @@
 	lease leaseState
 	local localServer
 	lead  *leadership
+	// resuming is set while this node, as the leader's next process, asks
+	// whether it may lead on.
+	resuming *leadership
 
 	reading  bool
 	nextRead clock.Mono
@@ -148,8 +151,13 @@
 	nextReminder clock.Mono
 	// heard is when the leader last answered.
 	heard clock.Mono
-	// echo is the stamp of that answer.
-	echo int64
+	// echo is the stamp of the last answer, echoFrom the incarnation of the
+	// leader and echoTerm the term that it came from.
+	echo     int64
+	echoFrom uint64
+	echoTerm uint64
+	// promise is the leader's promise to write nothing.
+	promise promise
 	// unproven is true if the leader says that the platform does not answer it.
 	unproven   bool
 	unprovenAt clock.Mono
@@ -357,6 +365,9 @@
 // incarnation proves that nobody had taken its rows when the read was served.
 func (m *Machine) documentRead(e DocumentRead) {
 	m.reading = false
+	if m.lead != nil {
+		m.lead.unanswered = e.Err != nil
+	}
 	if e.Err != nil {
 		return
 	}
@@ -381,6 +392,7 @@
 		m.lead.proofAt = max(m.lead.proofAt, e.SentAt)
 		return
 	}
+	m.resuming = nil
 	if self := m.doc.Members[m.p.Self.Name]; self != nil && self.MemberRef == m.p.Self && !self.Evicted {
 		m.extend(e.SentAt)
 	}
@@ -469,6 +481,7 @@
 		}
 		if m.lead != nil {
 			m.lead.nextPlan = m.now.Add(writeRetry)
+			m.lead.unanswered = !platform.ErrConflict.Has(e.Err)
 		}
 		m.nextRead = m.now
 		m.read(readEvery)
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -37,7 +37,10 @@
 	s := &wire.NodeStatus{
 		Seq: m.lease.seq, Term: m.doc.Term, DocumentVersion: m.version, ConfigVersion: m.configVersion,
 		PeerAddr: m.p.Addr, Zone: m.p.Zone, Tenure: m.local.tenure, Verified: m.verified, Leaving: m.stopping,
-		Released: m.local.releasedSpans(), WorkMs: m.local.work, Echo: m.lease.echo, Weight: m.p.Weight,
+		Released: m.local.releasedSpans(), WorkMs: m.local.work, Echo: m.lease.echo, EchoFrom: m.lease.echoFrom, Weight: m.p.Weight,
+	}
+	if p := m.lease.promise; p.holds(m) {
+		s.PromisedVersion, s.ProofAgeMs = p.version, m.now.Sub(p.proofAt).Milliseconds()+1
 	}
 	if s.Seq%loadsEvery == 0 {
 		s.HasLoads = true
@@ -58,7 +61,7 @@
 	case *wire.Control_NodeStatus:
 		m.statusFromPeer(e, b.NodeStatus)
 	case *wire.Control_StatusAnswer:
-		m.answered(b.StatusAnswer)
+		m.answered(e.From.Incarnation, b.StatusAnswer)
 	case *wire.Control_Objects:
 		m.objects(b.Objects)
 	case *wire.Control_DocumentChange:
@@ -68,14 +71,24 @@
 
 // answered extends the lease from when the status was sent. Answers of an
 // earlier leader no longer count.
-func (m *Machine) answered(a *wire.StatusAnswer) {
+func (m *Machine) answered(from uint64, a *wire.StatusAnswer) {
 	sent, ok := m.lease.sent[a.GetSeq()]
 	delete(m.lease.sent, a.GetSeq())
 	if !ok || m.doc == nil || a.GetTerm() < m.doc.Term {
 		return
 	}
+	earlier := m.lease.echoFrom
+	if !m.lease.stamped(from, a) {
+		return
+	}
+	if a.GetProbe() {
+		m.probed(a, earlier != from)
+		return
+	}
 	m.lease.heard = m.now
-	m.lease.echo = a.GetStamp()
+	if a.GetStamp() == m.lease.echo {
+		m.lease.promise = promiseOf(a, sent, m.p.Timing.Lease)
+	}
 	if a.GetUnproven() && !m.lease.unproven {
 		m.lease.unprovenAt = m.now
 	}
@@ -96,6 +109,19 @@
 	}
 }
 
+// stamped notes the leader's latest stamp. It reports false for an answer of
+// the leader's process before the present one.
+func (l *leaseState) stamped(from uint64, a *wire.StatusAnswer) bool {
+	sameTerm := a.GetTerm() == l.echoTerm
+	if sameTerm && from < l.echoFrom {
+		return false
+	}
+	if !sameTerm || from > l.echoFrom || a.GetStamp() > l.echo {
+		l.echo, l.echoFrom, l.echoTerm = a.GetStamp(), from, a.GetTerm()
+	}
+	return true
+}
+
 // objects takes the fleet document as the leader passes it on.
 func (m *Machine) objects(in *wire.Objects) {
 	for _, o := range in.GetObjects() {
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -468,7 +468,7 @@
 	lasts := s.ms(200, 6000)
 	faults := []func(*simNode, time.Duration){
 		s.killNode, s.freeze, s.cutNode, s.cutStore, s.stopStore, s.restartServer, s.darkServer, s.cutServer,
-		s.leaveServer, s.killSeveral, s.killLeader,
+		s.leaveServer, s.killSeveral, s.killLeader, s.killLeaderInOutage,
 	}
 	faults[s.rng.Intn(len(faults))](n, lasts)
 }
@@ -558,6 +558,15 @@
 	}
 }
 
+// killLeaderInOutage stops the store and restarts the leader while it is away,
+// once or twice.
+func (s *sim) killLeaderInOutage(n *simNode, lasts time.Duration) {
+	s.stopStore(n, 2*lasts+3*time.Second)
+	for range 1 + s.rng.Intn(2) {
+		s.after(s.ms(0, 8000), func() { s.killLeader(n, s.ms(100, 1500)) })
+	}
+}
+
 func (s *sim) leader() *simNode {
 	for _, n := range s.nodes {
 		if n.up && n.machine.Leads() {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -228,6 +228,7 @@
 		n.gate.Wake()
 		l.gaps.learned(r.View, n.self.Name, r.Held)
 		n.gauges.document.Store(r.Version)
+		n.gauges.members.Store(int64(len(r.View.Members)))
 	}
 	n.gauges.lease.Store(int64(n.machine.LeaseUntil()))
 	n.gauges.leads.Store(n.machine.Leads())
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -18,6 +18,7 @@
 	document atomic.Uint64
 	leads    atomic.Bool
 	rows     atomic.Int64
+	members  atomic.Int64
 }
 
 // counters of the control side.
@@ -36,6 +37,7 @@
 		return max(0, clock.Mono(n.gauges.lease.Load()).Sub(clock.Now()).Seconds())
 	})
 	gauge("fulmarhinge_document_version", func() float64 { return float64(n.gauges.document.Load()) })
+	gauge("fulmarhinge_members", func() float64 { return float64(n.gauges.members.Load()) })
 	gauge("fulmarhinge_config_version", func() float64 { return float64(n.entry.ConfigVersion()) })
 	gauge("fulmarhinge_rows_held", func() float64 { return float64(n.gauges.rows.Load()) })
 	gauge("fulmarhinge_leads", func() float64 {
--- a/spec/hold.pml
+++ b/spec/hold.pml
@@ -15,6 +15,11 @@
  * go without one. "majority" is the term that a majority follows; a member never
  * goes back to a lower term, so it only rises.
  *
+ * With LEADER_RESUMES, leader 1 may end and start again without memory. It resumes
+ * its term while a promise of its earlier process, to write nothing, stands in
+ * A's sight; who has promised waits until A must know better. The server's hold,
+ * which never outlasts A's lease, is left out then to keep the search small.
+ *
  * Bounds: one row, two leaders, one take-over, one eviction, one call of each
  * kind at a time. B's own lease is the same rule and is not modelled. Clocks
  * run alike here; the code takes 2% off each hold for their drift.
@@ -36,12 +41,20 @@
 bool established;       /* leader 2 knows that a majority follows it */
 byte majority = 1;
 #define claimed (term == 2)
+bool restarted1;        /* leader 1 has started again and has not resumed */
+bool resumed1;          /* it leads on; it writes nothing */
+bool resigned;          /* the document says that leader 1 renews nothing more */
+bool gone1;             /* leader 1 knows that it has resigned */
+bool markKnown;         /* the mark as the promise was about */
 
 /* Timers; 0 means that the time is over. */
 byte lease;             /* A's lease */
 byte hold;              /* the hold of A's server */
 byte proof1 = OUTAGE;   /* leader 1: OUTAGE less the age of its last proof */
 byte heard1 = FRESH;    /* leader 1: time left of its last sight of a majority */
+byte bound1;            /* leader 1: its promise may still stand in A's sight */
+byte sight;             /* A: the promise stands */
+byte sightProof;        /* proof1 as the promise told it */
 byte wait;              /* the wait after the mark, as the present leader counts */
 byte settle;            /* leader 2: an earlier leader may still have renewed */
 
@@ -50,11 +63,33 @@
 #define NOCALL 7
 byte ask = NOCALL;      /* A's renewal, from a leader or by reading the document */
 bool asked;             /* its answer is on its way */
+bool promised;          /* the answer promises to write nothing */
 byte report = NOCALL;   /* the server's report to A */
 bool answered;          /* its answer is on its way and carries this hold: */
 byte granted;
 byte prove1 = NOCALL;   /* leader 1's read, served while the term was its own */
 
+/* Leader 1 runs, and leads by a write or by resuming. */
+#define LEADS1 (!ended1 && !restarted1 && !gone1)
+
+#ifdef WRITES_UNDER_PROMISE
+#define FREE1 true
+#else
+#define FREE1 (bound1 == 0)
+#endif
+
+#ifdef RESUMES_WITHOUT_PROMISE
+#define EVIDENCE true
+#else
+#define EVIDENCE (sight > 0)
+#endif
+
+#ifdef RESUMES_WITHOUT_PROOF_AGE
+#define RESUMED_PROOF OUTAGE
+#else
+#define RESUMED_PROOF sightProof
+#endif
+
 #define DOWN(t) t = (t > 0 -> t - 1 : 0)
 #define KEEP(t) t = (t != NOCALL && t > 0 -> t - 1 : t)
 
@@ -65,9 +100,9 @@
 #endif
 
 #ifdef RENEWS_EVICTED
-#define RENEWS1 (!ended1 && VALID1)
+#define RENEWS1 (LEADS1 && VALID1)
 #else
-#define RENEWS1 (!ended1 && VALID1 && !marked1)
+#define RENEWS1 (LEADS1 && VALID1 && !marked1)
 #endif
 
 #ifdef LEASE_FROM_ANSWER
@@ -102,18 +137,27 @@
   /* Time passes. */
   :: d_step {
       DOWN(lease); DOWN(hold); DOWN(proof1); DOWN(heard1); DOWN(wait); DOWN(settle); DOWN(granted);
+      DOWN(bound1); DOWN(sight); DOWN(sightProof);
       KEEP(ask); KEEP(report); KEEP(prove1)
     }
 
   /* A asks for a renewal, a leader that may answers, the answer arrives. */
-  :: ask == NOCALL -> d_step { ask = LEASE; asked = false }
+  :: ask == NOCALL -> d_step { ask = LEASE; asked = false; promised = false }
   :: ask != NOCALL && !asked && RENEWS1 -> asked = true
+#ifdef LEADER_RESUMES
+  /* Leader 1 answers, renewing or not, and promises to write nothing. */
+  :: ask != NOCALL && !asked && LEADS1 -> d_step {
+      asked = RENEWS1; promised = true; bound1 = LEASE; sightProof = proof1; markKnown = marked1
+    }
+  :: ask != NOCALL && promised -> sight = MAX(sight, ask)
+#endif
   :: ask != NOCALL && !asked && established && !evicted -> asked = true
   /* The document itself lists A, and does not mark it. */
   :: ask != NOCALL && !asked && !evicted && !ownerB -> asked = true
   :: ask != NOCALL && asked -> d_step { lease = MAX(lease, FROM_SENT(ask)); ask = NOCALL; asked = false }
   :: ask != NOCALL -> d_step { ask = NOCALL; asked = false }          /* lost */
 
+#ifndef LEADER_RESUMES
   /* The server reports, A answers under its lease, the answer arrives. The hold
      counts from when the report was sent, LEASE - report steps ago. */
   :: report == NOCALL -> report = LEASE
@@ -123,9 +167,10 @@
     }
   :: report != NOCALL && answered -> d_step { hold = MAX(hold, granted); report = NOCALL; answered = false; granted = 0 }
   :: report != NOCALL -> d_step { report = NOCALL; answered = false; granted = 0 }
+#endif
 
   /* Leader 1 proves its term by a read. */
-  :: prove1 == NOCALL && !ended1 && term == 1 -> prove1 = OUTAGE
+  :: prove1 == NOCALL && LEADS1 && term == 1 -> prove1 = OUTAGE
   :: prove1 != NOCALL -> d_step { proof1 = MAX(proof1, prove1); prove1 = NOCALL }
   :: prove1 != NOCALL -> prove1 = NOCALL
   /* Members show it its own stamp back: they followed it since. */
@@ -137,17 +182,35 @@
   :: claimed && !ended1 -> ended1 = true                              /* it hears of leader 2 */
 
   /* Leader 1 marks A and, after the wait, gives the row to B. */
-  :: !ended1 && term == 1 && !evicted -> d_step { evicted = true; marked1 = true; wait = LEASE }
-  :: term == 1 && marked1 && WAITED && !ownerB -> ownerB = true
+  :: LEADS1 && !resumed1 && FREE1 && term == 1 && !evicted -> d_step { evicted = true; marked1 = true; wait = LEASE }
+  :: LEADS1 && !resumed1 && FREE1 && term == 1 && marked1 && WAITED && !ownerB -> ownerB = true
+
+  /* Leader 1 resigns. */
+  :: LEADS1 && !resumed1 && FREE1 && term == 1 -> d_step { resigned = true; gone1 = true }
+
+#ifdef LEADER_RESUMES
+  /* Leader 1 starts again and, once it sees the promise stand, resumes. */
+  :: !ended1 -> d_step {
+      restarted1 = true; resumed1 = false; gone1 = false; marked1 = false; heard1 = 0; proof1 = 0; prove1 = NOCALL; bound1 = 0
+    }
+  :: restarted1 && EVIDENCE -> d_step {
+      restarted1 = false; resumed1 = true; marked1 = markKnown; proof1 = RESUMED_PROOF
+    }
+#endif
 
   /* Leader 2 claims, gathers a majority, marks A and gives the row to B. */
-  :: !claimed -> d_step { term = 2; settle = OUTAGE + LEASE; wait = LEASE }
+  :: !claimed && !resigned -> d_step { term = 2; settle = OUTAGE + LEASE; wait = LEASE }
+  :: !claimed && resigned -> d_step { term = 2; established = true; settle = LEASE; wait = LEASE }
   :: claimed && majority == 1 -> majority = 2
   :: claimed && majority == 2 && !established -> d_step { established = true; settle = MIN(settle, FRESH + LEASE) }
   :: established && !evicted -> d_step { evicted = true; wait = LEASE }
   :: claimed && evicted && WAITED && SETTLED && !ownerB -> ownerB = true
 
   /* B's server is granted the row. */
+#ifdef LEADER_RESUMES
+  :: ownerB -> assert(lease == 0)
+#else
   :: ownerB -> assert(hold == 0)
+#endif
   od
 }
