Count every undecided write, and let strangers claim the lead last

Cause, found while the resumption was specified: (1) of several writes with lost answers that expect one version only the last was remembered, so that a leader in an outage could count a majority that the others would not give; (2) a claim lists its claimant, so two claims in a row by nodes that were not listed could gather a majority without anybody of the earlier leader's, which still renewed under its own.

Ruled out: counting claimants apart from members; the members would then not be what the platform holds.

--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -101,6 +101,11 @@
 		return m.doc.Heir == "" || m.doc.Heir == m.p.Self.Name || m.now.Sub(m.lease.heard) > heirWait
 	}
 	wait := time.Duration(m.claimRank()) * claimStagger
+	if m.doc.Members[m.p.Self.Name] == nil {
+		// Claims list the claimant. Two of strangers in a row could gather a
+		// majority that has nobody in common with the earlier leader's.
+		return m.now.Sub(m.lease.heard) > m.p.Timing.Outage+claimAfter+wait && m.now.Sub(m.readAt) < claimAfter
+	}
 	silent := m.now.Sub(m.lease.heard) > claimAfter+wait || m.lease.unproven && m.now.Sub(m.lease.unprovenAt) > unprovenWait+wait
 	return silent && m.now.Sub(m.readAt) < claimAfter
 }
@@ -305,13 +310,17 @@
 
 // followedSince reports whether a majority of the members followed this term
 // at a time after the given one. It must be one of the members that a later
-// leader would count as well, if an undecided write has taken effect.
+// leader would count as well, whichever undecided write has taken effect.
 func (m *Machine) followedSince(at clock.Mono) bool {
 	if !m.lead.majority(m.doc, at) {
 		return false
 	}
-	u := m.undecided()
-	return u == nil || m.lead.majority(u, at)
+	for _, u := range m.undecided() {
+		if !m.lead.majority(u, at) {
+			return false
+		}
+	}
+	return true
 }
 
 func (l *leadership) majority(doc *Document, at clock.Mono) bool {
@@ -363,19 +372,26 @@
 	return m.valid() && m.followedSince(a.since)
 }
 
-// keepsRows reports whether an undecided write leaves a member all the rows
+// keepsRows reports whether every undecided write leaves a member all the rows
 // that it may grant.
 func (m *Machine) keepsRows(name string) bool {
-	u := m.undecided()
-	if u == nil {
-		return true
+	for _, u := range m.undecided() {
+		if !leavesRows(m.doc, u, name) {
+			return false
+		}
 	}
-	for service, t := range m.doc.Tables {
+	return true
+}
+
+// leavesRows reports whether a member has all the rows that it may grant under
+// one document under the next one as well.
+func leavesRows(doc, next *Document, name string) bool {
+	for service, t := range doc.Tables {
 		for _, r := range t {
 			if r.Owner != name || r.Next != "" {
 				continue
 			}
-			for _, w := range u.Tables[service] {
+			for _, w := range next.Tables[service] {
 				if w.From <= r.To && w.To >= r.From && (w.Owner != name || w.Epoch != r.Epoch) {
 					return false
 				}
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -1,8 +1,12 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/platform"
 )
 
 // calmSim returns a fleet that has come to rest, without lost messages.
@@ -104,3 +108,50 @@
 		t.Error("no row was handed over with a token")
 	}
 }
+
+// TestUndecidedWrites loses the answers of two writes that expect the same
+// version: the leader counts a majority of the members of both.
+func TestUndecidedWrites(t *testing.T) {
+	s := calmSim(1, 3)
+	s.store.down = true
+	leader := s.leader()
+	m := leader.machine
+	larger := m.doc.clone()
+	for i := range 4 {
+		name := fmt.Sprintf("x%d", i)
+		larger.Members[name] = &Member{MemberRef: cluster.MemberRef{Name: name, Incarnation: 1}}
+	}
+	for _, doc := range []*Document{larger, m.doc.clone()} {
+		m.pending = doc
+		leader.step(DocumentWritten{Err: platform.ErrUnknown.New("lost")})
+	}
+	s.runUntil(s.now.Add(DefaultTiming().Fresh + time.Second))
+	if m.valid() {
+		t.Error("a majority of the members of the first write does not follow, and leases are renewed")
+	}
+}
+
+// TestStrangersClaimLast lets a node that is not listed reach the platform and
+// nobody else: it leaves the lead alone while an earlier leader may renew, and
+// takes it when all members are gone for good.
+func TestStrangersClaimLast(t *testing.T) {
+	s := calmSim(1, 3)
+	s.nodes = append(s.nodes, &simNode{sim: s, name: "x"})
+	stranger := s.nodes[3]
+	stranger.startServer()
+	stranger.cut = true
+	stranger.start()
+	term := s.leader().machine.doc.Term
+	s.runUntil(s.now.Add(8 * time.Second))
+	if now := s.leader().machine.doc.Term; now != term {
+		t.Error("a node that is not listed claimed the lead beside a fleet at work")
+	}
+	for _, n := range s.nodes[:3] {
+		n.kill()
+		n.server.up = false
+	}
+	s.runUntil(s.now.Add(40 * time.Second))
+	if held := s.heldKeys(); held != MaxKey+1 {
+		t.Errorf("40 s after the last member was lost %d keys are held", held)
+	}
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -9,7 +9,6 @@
 package fleet
 
 import (
-	"fmt"
 	"time"
 
 	"fulmarhinge/internal/clock"
@@ -111,9 +110,9 @@
 	readAt clock.Mono
 	// pending is the document of the write under way, if there is one.
 	pending *Document
-	// unsettled is a write whose answer was lost: it may take effect for as long
-	// as the document has the version unsettledAt, which it expected.
-	unsettled   *Document
+	// unsettled holds writes whose answers were lost: any of them may take effect
+	// for as long as the document has the version unsettledAt, which they expect.
+	unsettled   []*Document
 	unsettledAt uint64
 	// predecessorEnded is true if the claim under way follows a leader that can
 	// renew no lease any more.
@@ -432,69 +431,6 @@
 	m.local.prune(doc, m.p.Self.Name)
 }
 
-// undecided returns the write that may have taken effect or may yet do so, or
-// nil.
-func (m *Machine) undecided() *Document {
-	if m.pending != nil {
-		return m.pending
-	}
-	if m.unsettledAt == m.version {
-		return m.unsettled
-	}
-	return nil
-}
-
-// found writes the first document of the fleet.
-func (m *Machine) found() {
-	if m.doc != nil || m.pending != nil {
-		return
-	}
-	m.predecessorEnded = true
-	doc := &Document{
-		Term: 1, Leader: m.p.Self, Members: map[string]*Member{}, Tables: map[string]Table{},
-	}
-	doc.Members[m.p.Self.Name] = &Member{MemberRef: m.p.Self, Addr: m.p.Addr, Zone: m.p.Zone, Weight: m.p.Weight}
-	m.write(doc)
-}
-
-// write starts a conditional update of the document. One is under way at most.
-func (m *Machine) write(doc *Document) {
-	m.changes++
-	doc.ChangeID = fmt.Sprintf("%s-%s-%d", m.p.Self.Name, m.p.Nonce, m.changes)
-	m.pending = doc
-	m.ready.Write = &Write{Expected: m.version, Value: doc.Encode()}
-}
-
-// documentWritten takes the outcome of the write under way. A write whose
-// answer was lost may still take effect: the next one then conflicts, and is
-// planned anew on what the platform holds.
-func (m *Machine) documentWritten(e DocumentWritten) {
-	doc := m.pending
-	m.pending = nil
-	if doc == nil {
-		return
-	}
-	if e.Err != nil {
-		m.note("fleet document not written", "expected", m.version, "error", e.Err)
-		if platform.ErrUnknown.Has(e.Err) {
-			m.unsettled, m.unsettledAt = doc, m.version
-		}
-		if m.lead != nil {
-			m.lead.nextPlan = m.now.Add(writeRetry)
-			m.lead.unanswered = !platform.ErrConflict.Has(e.Err)
-		}
-		m.nextRead = m.now
-		m.read(readEvery)
-		return
-	}
-	m.verified = true
-	m.adopt(doc, e.Version)
-	if m.doc == doc && doc.Leader == m.p.Self && !doc.Resigned {
-		m.confirm(e.SentAt)
-		m.broadcast()
-	}
-}
-
 func (m *Machine) send(addr string, c *wire.Control) {
 	c.FromName = m.p.Self.Name
 	c.FromIncarnation = m.p.Self.Incarnation
--- a/internal/fleet/resume.go
+++ b/internal/fleet/resume.go
@@ -44,7 +44,7 @@
 // has no time to wait for the platform.
 func (m *Machine) mayPromise() bool {
 	l := m.lead
-	return l.unanswered && m.undecided() == nil && (m.stopping || m.now.Sub(l.proofAt) > m.p.Timing.Fresh)
+	return l.unanswered && len(m.undecided()) == 0 && (m.stopping || m.now.Sub(l.proofAt) > m.p.Timing.Fresh)
 }
 
 // kept ends the promise to a member that has been told that it is over.
