Soak fleets of real processes under random faults from outside

test/soak starts the built binary as processes, with stand-ins of the store and the backends and a loopback proxy on every path; one seed decides the faults (24 kinds, in series that overlap). It judges while it runs: one holder a key, rising numbers, no double run, true refusals, whole answers, drains, configuration never back and in force in time, the retry budget, served again within 15 s.

Nodes take listen.peers_advertised and listen.peers_from for it, as the settings of "fulmarhinge node" do.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -119,14 +119,14 @@
 	timing := fleet.DefaultTiming()
 	timing.MaxHold = duration(s.Bounds.MaxHold)
 	n.machine = fleet.New(clock.Now(), fleet.Params{
-		Self: n.self, Addr: s.Listen.Peers, Zone: s.Zone, Weight: s.Resources.CPUShare * s.Resources.LinkMbps, Nonce: fmt.Sprintf("%x", now.UnixNano()), Timing: timing,
+		Self: n.self, Addr: s.Listen.peerAddress(), Zone: s.Zone, Weight: s.Resources.CPUShare * s.Resources.LinkMbps, Nonce: fmt.Sprintf("%x", now.UnixNano()), Timing: timing,
 	})
 	n.loop = newLoop(n)
 	n.client = upstream.NewClient(s.BackendAddress, o.Servers)
 	n.gate = gate.New(gate.Config{Client: n.client, Logger: log, Owns: n.owns, Down: n.loop.backendDown,
 		LinkMbps: s.Resources.LinkMbps, Drain: duration(s.Bounds.Drain)})
 	n.transport = peer.New(peer.Config{
-		Fleet: "fleet", Self: n.self, Listen: s.Listen.Peers, Logger: log,
+		Fleet: "fleet", Self: n.self, Listen: s.Listen.Peers, DialFrom: s.Listen.PeersFrom, Logger: log,
 	}, n.onControl, n.gate.ServeStream)
 	n.entry = ingress.New(ingress.Config{
 		Self: n.self, Zone: s.Zone, Service: s.Service, Headers: o.Callers, Gate: n.gate, Peers: n.transport, Logger: log,
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -33,7 +33,20 @@
 	Reports string `json:"reports"`
 	Ready   string `json:"ready"`
 	Peers   string `json:"peers"`
-	Metrics string `json:"metrics"`
+	// PeersAdvertised is the IP:port that peers dial; Peers if empty.
+	PeersAdvertised string `json:"peers_advertised,omitempty"`
+	// PeersFrom is the IP that peers are dialed from; the system's choice if
+	// empty.
+	PeersFrom string `json:"peers_from,omitempty"`
+	Metrics   string `json:"metrics"`
+}
+
+// peerAddress is what peers dial.
+func (l Listen) peerAddress() string {
+	if l.PeersAdvertised != "" {
+		return l.PeersAdvertised
+	}
+	return l.Peers
 }
 
 // Platform says where the platform's store is and what it takes from all nodes.
@@ -110,10 +123,16 @@
 		{"listen.ready", s.Listen.Ready}, {"listen.peers", s.Listen.Peers}, {"listen.metrics", s.Listen.Metrics},
 		{"platform.address", s.Platform.Address},
 	} {
-		if host, _, err := net.SplitHostPort(f.value); err != nil || net.ParseIP(host) == nil {
+		if !isAddress(f.value) {
 			add(f.path, "got %q; expected IP:port", f.value)
 		}
 	}
+	if a := s.Listen.PeersFrom; a != "" && net.ParseIP(a) == nil {
+		add("listen.peers_from", "got %q; expected an IP or nothing", a)
+	}
+	if a := s.Listen.PeersAdvertised; a != "" && !isAddress(a) {
+		add("listen.peers_advertised", "got %q; expected IP:port or nothing", a)
+	}
 	for _, f := range []struct {
 		path  string
 		value float64
@@ -137,3 +156,9 @@
 	}
 	return found
 }
+
+// isAddress reports whether the text is IP:port.
+func isAddress(text string) bool {
+	host, _, err := net.SplitHostPort(text)
+	return err == nil && net.ParseIP(host) != nil
+}
--- a/internal/sidecar/settings_test.go
+++ b/internal/sidecar/settings_test.go
@@ -32,6 +32,8 @@
 	}
 	tests := []struct{ name, from, to, path string }{
 		{"empty name", `"name":"n1"`, `"name":""`, "name"},
+		{"advertised host name", `"peers":"10.0.0.1:4"`, `"peers":"10.0.0.1:4","peers_advertised":"host:4"`, "listen.peers_advertised"},
+		{"source host name", `"peers":"10.0.0.1:4"`, `"peers":"10.0.0.1:4","peers_from":"host"`, "listen.peers_from"},
 		{"host name", `"peers":"10.0.0.1:4"`, `"peers":"host:4"`, "listen.peers"},
 		{"no port", `"backend_address":"10.0.0.1:80"`, `"backend_address":"10.0.0.1"`, "backend_address"},
 		{"no memory", `"memory_mb":284`, `"memory_mb":0`, "resources.memory_mb"},
--- /dev/null
+++ b/test/soak/fleet_test.go
@@ -0,0 +1,237 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"fulmarhinge/internal/sidecar"
+	"fulmarhinge/platform"
+	"fulmarhinge/platform/standin"
+)
+
+// Bounds that the nodes are told, in seconds.
+const (
+	drainS        = 2
+	graceS        = 4
+	configApplyS  = 3
+	retryRatio    = 0.2
+	retryExtra    = 50
+	retryWindowS  = 10
+	reportPeriodS = 0.5
+	// recoveryS is the time after the last fault within which all is served.
+	recoveryS = 15
+)
+
+// machine is one VM: a node's process, the backend beside it, and the proxies
+// that all their connections go through.
+type machine struct {
+	name     string
+	settings *sidecar.Settings
+	dir      string
+	log      *os.File
+	backend  *standin.Backend
+	peers    *proxy
+	reports  *proxy
+	requests *proxy
+	store    *proxy
+
+	process *os.Process
+	exited  chan struct{}
+	paused  bool
+	// config is the highest configuration version of this process that was seen.
+	config uint64
+}
+
+// fleet is what one play runs.
+type fleet struct {
+	t        *testing.T
+	dir      string
+	judge    *judge
+	store    *standin.Store
+	storeSrv *http.Server
+	machines []*machine
+	// revision is the newest configuration.
+	revision atomic.Int64
+	http     *http.Client
+}
+
+// freePort gives out ports below those that the kernel gives to connections.
+func freePort() string {
+	for {
+		port := 20000 + (os.Getpid()*64+int(portsTried.Add(1)))%10000
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		if ln, err := net.Listen("tcp", address); err == nil {
+			_ = ln.Close()
+			return address
+		}
+	}
+}
+
+var portsTried atomic.Int64
+
+func newFleet(t *testing.T, seed int64, machines int) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, dir: t.TempDir(), judge: newJudge(), store: standin.NewStore(seed),
+		http: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	if *keep != "" {
+		f.dir = filepath.Join(*keep, fmt.Sprintf("seed-%d", seed))
+		must(t, os.MkdirAll(f.dir, 0o755))
+	}
+	address := freePort()
+	ln, err := net.Listen("tcp", address)
+	must(t, err)
+	f.storeSrv = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Second}
+	go func() { _ = f.storeSrv.Serve(ln) }()
+	f.changeConfig()
+	for i := range machines {
+		f.machines = append(f.machines, f.newMachine(i, address))
+	}
+	for _, m := range f.machines {
+		must(t, m.backend.Start())
+		f.start(m)
+	}
+	return f
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// changeConfig writes the next configuration: its route under /v<number>/ is in
+// no other one.
+func (f *fleet) changeConfig() {
+	n := f.revision.Add(1)
+	f.store.Put("config", "main", fmt.Sprintf(`{"version":"r%d","routes":{
+		"k":{"host":"h","pathPrefix":"/keyed/","kind":"retryable","timeoutS":0.9,"targetLatencyS":0.3,"priority":1,"service":"keyed","maxAttempts":2},
+		"o":{"host":"h","pathPrefix":"/once/","kind":"non_idempotent","timeoutS":0.9,"targetLatencyS":0.3,"priority":0,"service":"keyed","maxAttempts":2},
+		"p":{"host":"h","pathPrefix":"/plain/","kind":"retryable","timeoutS":0.9,"targetLatencyS":0.3,"priority":1,"service":"plain","maxAttempts":2},
+		"v":{"host":"h","pathPrefix":"/v%d/","kind":"retryable","timeoutS":0.9,"targetLatencyS":0.3,"priority":1,"service":"plain","maxAttempts":2}},
+		"services":{"keyed":{"sharded":true,"maxConns":50},"plain":{"maxConns":50}},"limits":{}}`, n, n))
+}
+
+// newMachine makes one VM; every third one runs the service without keys.
+func (f *fleet) newMachine(i int, store string) *machine {
+	t, name, service := f.t, fmt.Sprintf("n%d", i), "keyed"
+	if i%3 == 2 {
+		service = "plain"
+	}
+	m := &machine{name: name, dir: f.dir}
+	backend, peers, reports := freePort(), freePort(), freePort()
+	m.settings = &sidecar.Settings{
+		Name: name, Zone: "z", Service: service, BackendAddress: freePort(),
+		Listen: sidecar.Listen{
+			Callers: freePort(), Reports: reports, Ready: freePort(), Peers: peers, PeersAdvertised: freePort(), Metrics: freePort(),
+			PeersFrom: fmt.Sprintf("127.0.1.%d", i+1),
+		},
+		Platform:  sidecar.Platform{Address: freePort(), WritesPerSec: 400, ReadsPerSec: 2000},
+		Resources: sidecar.Resources{MemoryMB: 1024, CPUShare: 1, LinkMbps: 1000},
+		Bounds: sidecar.Bounds{Drain: drainS, Grace: graceS, ConfigApply: configApplyS, MaxHold: 10,
+			RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindowS, ReportPeriod: reportPeriodS},
+	}
+	var err error
+	m.peers, err = newProxy(m.settings.Listen.PeersAdvertised, peers)
+	must(t, err)
+	m.requests, err = newProxy(m.settings.BackendAddress, backend)
+	must(t, err)
+	m.store, err = newProxy(m.settings.Platform.Address, store)
+	must(t, err)
+	reported := freePort()
+	m.reports, err = newProxy(reported, reports)
+	must(t, err)
+	m.backend = standin.NewBackend(standin.BackendOptions{
+		ID: "i-" + name, Service: service, Keyed: service == "keyed", Slots: 8, Listen: backend, Address: m.settings.BackendAddress,
+		Reports: reported, Period: time.Duration(reportPeriodS * float64(time.Second)), SlowPercent: 2,
+		Work: 20 * time.Millisecond, Observer: f.judge, Logger: hclog.NewNullLogger(),
+	})
+	b, err := json.Marshal(m.settings)
+	must(t, err)
+	must(t, os.WriteFile(filepath.Join(f.dir, name+".json"), b, 0o644))
+	m.log, err = os.Create(filepath.Join(f.dir, name+".log"))
+	must(t, err)
+	return m
+}
+
+// start starts the node's process; its log goes on in the same file.
+func (f *fleet) start(m *machine) {
+	cmd := exec.Command(binary, "sidecar", "--settings", filepath.Join(m.dir, m.name+".json"))
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"=")
+	cmd.Stdout, cmd.Stderr = m.log, m.log
+	must(f.t, cmd.Start())
+	exited := make(chan struct{})
+	m.process, m.exited, m.config, m.paused = cmd.Process, exited, 0, false
+	go func() {
+		// How it ended is in its log; the faults end most of them.
+		_ = cmd.Wait()
+		close(exited)
+	}()
+}
+
+func (m *machine) signal(s syscall.Signal) {
+	// A process that has ended already needs no signal.
+	_ = m.process.Signal(s)
+}
+
+// up reports whether the process runs.
+func (m *machine) up() bool {
+	select {
+	case <-m.exited:
+		return false
+	default:
+		return !m.paused
+	}
+}
+
+func (f *fleet) stop() {
+	for _, m := range f.machines {
+		m.signal(syscall.SIGKILL)
+		<-m.exited
+		m.backend.Stop()
+		for _, p := range []*proxy{m.peers, m.reports, m.requests, m.store} {
+			p.close()
+		}
+		must(f.t, m.log.Close())
+	}
+	must(f.t, f.storeSrv.Close())
+}
+
+var configLine = regexp.MustCompile(`(?m)^fulmarhinge_config_version (\d+)$`)
+
+// watchConfig checks that no process goes back to an earlier configuration.
+func (f *fleet) watchConfig(m *machine) {
+	process := m.process
+	resp, err := f.http.Get("http://" + m.settings.Listen.Metrics + "/metrics")
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	found := configLine.FindSubmatch(body)
+	if err != nil || found == nil || process != m.process {
+		return
+	}
+	version, err := strconv.ParseUint(string(found[1]), 10, 64)
+	must(f.t, err)
+	if version < m.config {
+		f.judge.complain("%s went from configuration %d back to %d", m.name, m.config, version)
+	}
+	m.config = version
+}
