Let status, timeline and drain ask sidecars; log level, sampling, a fixed metrics port

The endpoint's port is 9464 in the deploy file; a node that can't bind it logs so and serves. "left_ms" stands only in lines of requests whose deadline is known (it read - for no route).

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -207,6 +207,19 @@
 	}
 }
 
+// TestDrainByNode finds the node through another one's answer: the platform does
+// not list it.
+func TestDrainByNode(t *testing.T) {
+	f := newFleet(t)
+	code, out, errOut := execute("drain", "a", "--node", f.addr, "--wait", "0s")
+	if code != result.ExitOK || !strings.Contains(out, "draining") {
+		t.Errorf("exit code %d: %s%s", code, out, errOut)
+	}
+	if code, _, errOut := execute("drain", "nobody", "--node", f.addr); code == result.ExitOK || !strings.Contains(errOut, "nobody") {
+		t.Errorf("exit code %d: %s", code, errOut)
+	}
+}
+
 func writeSettings(t *testing.T, content string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "node.json")
--- a/internal/cli/drain.go
+++ b/internal/cli/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -31,8 +32,9 @@
 		Long: `Stop a node as planned: it takes no new work, hands over what it owns,
 finishes what is in flight and exits. The command returns once the platform
 records that the node has left. --wait 0s returns once the stop has begun.`,
-		Example: `  fulmarhinge drain desk-3 --platform http://10.1.9.1:9000`,
-		Args:    cobra.ExactArgs(1),
+		Example: `  fulmarhinge drain desk-3 --platform http://10.1.9.1:9000
+  fulmarhinge drain desk-3 --node 10.1.9.2:7002`,
+		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return a.drain(cmd.Context(), args[0], wait)
 		},
@@ -42,6 +44,9 @@
 }
 
 func (a *app) drain(ctx context.Context, name string, wait time.Duration) error {
+	if len(a.nodes) > 0 {
+		return a.drainSeenByNode(ctx, name, wait)
+	}
 	store, err := a.store()
 	if err != nil {
 		return err
@@ -59,6 +64,43 @@
 	return a.awaitGone(ctx, store, m, wait)
 }
 
+// drainSeenByNode drains a member that the nodes of --node know, and waits until
+// its process has ended or another one answers in its place.
+func (a *app) drainSeenByNode(ctx context.Context, name string, wait time.Duration) error {
+	members, err := a.membersSeenByNode(ctx)
+	if err != nil {
+		return err
+	}
+	i := slices.IndexFunc(members, func(m cluster.Member) bool { return m.Name == name })
+	if i < 0 {
+		return operator.ErrNoMember.New("%s", name)
+	}
+	m := members[i]
+	if err := a.client().Drain(ctx, m.OperatorAddr); err != nil {
+		return err
+	}
+	m.State = cluster.StateDraining
+	if wait == 0 {
+		return a.printOrder(m)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		status, err := a.client().Status(ctx, m.OperatorAddr)
+		if operator.ErrUnreachable.Has(err) && ctx.Err() == nil || err == nil && status.Incarnation != m.Incarnation {
+			m.State = cluster.StateLeft
+			return a.printOrder(m)
+		}
+		select {
+		case <-ctx.Done():
+			return timeoutError.New("%s is not gone after %s", m.MemberRef, wait)
+		case <-ticker.C:
+		}
+	}
+}
+
 // awaitGone waits until the platform records that this incarnation is gone.
 func (a *app) awaitGone(ctx context.Context, store platform.Store, m cluster.Member, wait time.Duration) error {
 	if wait == 0 {
--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -34,7 +34,7 @@
 			}
 			out := logging.NewAsync(a.out)
 			defer out.Close()
-			options := logging.Options{Level: "info", JSON: true, Output: out}
+			options := logging.Options{Level: s.Log.LevelName(), JSON: true, Output: out}
 			log := logging.New(options)
 			log.Info("node starts", "name", s.Name, "version", version.String(), "settings", path)
 			return sidecar.Run(cmd.Context(), path, s, platform.Outside(s), log, logging.NewUnlimited(options))
--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -57,7 +57,7 @@
 func memberEntry(m *Member) *wire.MemberEntry {
 	out := &wire.MemberEntry{
 		Name: m.Name, Incarnation: m.Incarnation, Addr: m.Addr, Zone: m.Zone, Tenure: m.Tenure,
-		Evicted: m.Evicted, Leaving: m.Leaving, Weight: m.Weight,
+		Evicted: m.Evicted, Leaving: m.Leaving, Weight: m.Weight, OperatorAddr: m.Operator,
 	}
 	if s := m.Server; s != nil {
 		out.Server = &wire.BackendServer{Id: s.ID, BornMs: s.Born, Service: s.Service, Slots: uint32(s.Slots), Ready: s.Ready}
@@ -94,6 +94,7 @@
 	out := &Member{
 		MemberRef: cluster.MemberRef{Name: m.GetName(), Incarnation: m.GetIncarnation()}, Addr: m.GetAddr(), Zone: m.GetZone(),
 		Tenure: m.GetTenure(), Evicted: m.GetEvicted(), Leaving: m.GetLeaving(), Weight: m.GetWeight(),
+		Operator: m.GetOperatorAddr(),
 	}
 	if s := m.GetServer(); s != nil {
 		out.Server = &Server{
--- a/internal/fleet/document.go
+++ b/internal/fleet/document.go
@@ -53,6 +53,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Weight is what the node's VM can carry, against the other members.
 	Weight float64 `json:"weight,omitempty"`
+	// Operator is the IP:port of the node's endpoint for operators.
+	Operator string `json:"operator,omitempty"`
 }
 
 // usable reports whether rows may be placed on the member.
--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -141,13 +141,18 @@
 		old.Evicted = false
 		return
 	}
-	self := &Member{MemberRef: m.p.Self, Addr: m.p.Addr, Zone: m.p.Zone, Weight: m.p.Weight}
+	self := m.ownEntry()
 	if old != nil {
 		self.Server = old.Server
 	}
 	doc.Members[m.p.Self.Name] = self
 }
 
+// ownEntry is this node as a new member.
+func (m *Machine) ownEntry() *Member {
+	return &Member{MemberRef: m.p.Self, Addr: m.p.Addr, Zone: m.p.Zone, Weight: m.p.Weight, Operator: m.p.Operator}
+}
+
 // confirm takes a write that made or kept this node the leader.
 func (m *Machine) confirm(sentAt clock.Mono) {
 	if m.lead == nil || m.lead.term != m.doc.Term {
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -79,6 +79,8 @@
 	// Weight is what the node's VM can carry, against other nodes: duties go to
 	// the ones that can carry more.
 	Weight float64
+	// Operator is the IP:port of the node's endpoint for operators.
+	Operator string
 	// Nonce makes the change ids of this process unlike any other's.
 	Nonce  string
 	Timing Timing
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -38,6 +38,7 @@
 		Seq: m.lease.seq, Term: m.doc.Term, DocumentVersion: m.version, ConfigVersion: m.configVersion,
 		PeerAddr: m.p.Addr, Zone: m.p.Zone, Tenure: m.local.tenure, Verified: m.verified, Leaving: m.stopping,
 		Released: m.local.releasedSpans(), WorkMs: m.local.work, Echo: m.lease.echo, EchoFrom: m.lease.echoFrom, Weight: m.p.Weight,
+		OperatorAddr: m.p.Operator,
 	}
 	if p := m.lease.promise; p.holds(m) {
 		s.PromisedVersion, s.ProofAgeMs = p.version, m.now.Sub(p.proofAt).Milliseconds()+1
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -92,7 +92,7 @@
 // arrive lists a new incarnation. An earlier one at the same address has ended,
 // so its rows stay where they are.
 func (p *planner) arrive(ref cluster.MemberRef, old *Member, s *heardStatus) *Member {
-	mem := &Member{MemberRef: ref, Addr: s.GetPeerAddr(), Zone: s.GetZone(), Weight: s.GetWeight()}
+	mem := &Member{MemberRef: ref, Addr: s.GetPeerAddr(), Zone: s.GetZone(), Weight: s.GetWeight(), Operator: s.GetOperatorAddr()}
 	if old != nil {
 		mem.Server = old.Server
 	}
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -36,7 +36,7 @@
 	doc := &Document{
 		Term: 1, Leader: m.p.Self, Members: map[string]*Member{}, Tables: map[string]Table{},
 	}
-	doc.Members[m.p.Self.Name] = &Member{MemberRef: m.p.Self, Addr: m.p.Addr, Zone: m.p.Zone, Weight: m.p.Weight}
+	doc.Members[m.p.Self.Name] = m.ownEntry()
 	m.write(doc)
 }
 
--- a/internal/ingress/outcomes.go
+++ b/internal/ingress/outcomes.go
@@ -122,8 +122,10 @@
 	args := []any{
 		"request", q.id, "code", uint32(code), "result", result.Lookup(code).Name, "route", routeName(q.route),
 		"service", q.service, "node", q.where, "attempts", q.attempts, "offered", q.sent,
-		"took_ms", now.Sub(q.begun).Milliseconds(), "left_ms", q.deadline.Sub(now).Milliseconds(),
-		"config", q.server.ConfigVersion(), "document", q.documentVersion(),
+		"took_ms", now.Sub(q.begun).Milliseconds(), "config", q.server.ConfigVersion(), "document", q.documentVersion(),
+	}
+	if !q.deadline.IsZero() {
+		args = append(args, "left_ms", q.deadline.Sub(now).Milliseconds())
 	}
 	if q.key != "" {
 		args = append(args, "key", q.key)
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -347,8 +347,11 @@
 	code := result.Code(h.GetCode())
 	q.server.count(q, h)
 	if code == result.OK {
-		if q.attempts > 1 {
+		switch {
+		case q.attempts > 1:
 			q.server.outcomes.record(time.Now(), "request served after a retry", q, h)
+		case q.server.sampled():
+			q.server.outcomes.log.Info("request served", q.inputs(h)...)
 		}
 		for _, line := range h.GetHeaders() {
 			w.Header().Add(line.GetName(), line.GetValue())
--- a/internal/ingress/serve_test.go
+++ b/internal/ingress/serve_test.go
@@ -422,3 +422,23 @@
 		t.Errorf("after the callers' time has changed: %v", got)
 	}
 }
+
+// TestServedRequestsAreSampled sends requests that are served at the first try:
+// they cost no line by default, and one in so many if that is set.
+func TestServedRequestsAreSampled(t *testing.T) {
+	srv, s, out := newEntry(t, func(context.Context, *wire.RequestHead, []byte) (*wire.ResponseHead, []byte) { return ok("b") }, nil)
+	serve := func() int {
+		before := strings.Count(out.String(), "request served")
+		for i := range 40 {
+			call(t, srv, http.MethodGet, "/keyed/x", fmt.Sprintf("req-%03d", i), "", "Key", "5", "Left-Ms", "900")
+		}
+		return strings.Count(out.String(), "request served") - before
+	}
+	if n := serve(); n != 0 {
+		t.Errorf("%d lines for 40 served requests by default", n)
+	}
+	s.SampleServed(10)
+	if n := serve(); n != 4 {
+		t.Errorf("%d lines for 40 served requests, one in 10", n)
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -65,12 +65,14 @@
 	picker   *picker
 	budget   *budget
 	outcomes *outcomes
-	counts   *counts
-	stopping atomic.Bool
-	refusing atomic.Bool
-	inFlight atomic.Int64
-	strip    map[string]bool
-	ages     ages
+	// servedOneIn is the sampling of served requests, served counts them.
+	servedOneIn, served atomic.Int64
+	counts              *counts
+	stopping            atomic.Bool
+	refusing            atomic.Bool
+	inFlight            atomic.Int64
+	strip               map[string]bool
+	ages                ages
 }
 
 // View is the fleet as the entry sees it; it is never changed.
@@ -134,6 +136,16 @@
 	return s.config.Load() != nil && s.view.Load() != nil && !s.stopping.Load()
 }
 
+// SampleServed gives one in so many requests that are served at the first try
+// a line; 0 gives none.
+func (s *Server) SampleServed(oneIn int64) { s.servedOneIn.Store(oneIn) }
+
+// sampled reports whether the next request that is served gets a line.
+func (s *Server) sampled() bool {
+	n := s.servedOneIn.Load()
+	return n > 0 && s.served.Add(1)%n == 0
+}
+
 // Flush sums up the outcomes that got no line of their own.
 func (s *Server) Flush() { s.outcomes.flush(time.Now()) }
 
--- a/internal/operator/metrics.go
+++ b/internal/operator/metrics.go
@@ -13,6 +13,9 @@
 	status := s.deps.Status()
 	ready, _ := s.deps.Ready()
 	writeStatusMetrics(w, &status, ready)
+	if s.set != nil {
+		s.set.WritePrometheus(w)
+	}
 	metrics.WritePrometheus(w, true)
 }
 
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 
 	"fulmarhinge/internal/cluster"
@@ -42,6 +43,8 @@
 type Config struct {
 	// Listen is an IP:port.
 	Listen string
+	// Metrics are written with those of the process; nil if there are none.
+	Metrics *metrics.Set
 }
 
 // EvictOrder is the body of an order to evict a member.
@@ -67,6 +70,7 @@
 // Server is the operators' endpoint of one node.
 type Server struct {
 	deps Deps
+	set  *metrics.Set
 	log  hclog.Logger
 	ln   net.Listener
 	http *http.Server
@@ -78,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{deps: deps, log: log.Named("operator"), ln: ln}
+	s := &Server{deps: deps, set: cfg.Metrics, log: log.Named("operator"), ln: ln}
 	s.http = &http.Server{
 		Handler:        s.Handler(),
 		ReadTimeout:    readTimeout,
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -84,7 +84,9 @@
 	}
 	k.object, k.config, k.changedAt = o, c, time.Now()
 	k.node.entry.SetConfig(c)
-	k.node.log.Info("configuration in force", "version", c.Version, "revision", o.Version, "services", len(c.Services), "routes", c.Routes())
+	args := []any{"version", c.Version, "revision", o.Version, "services", len(c.Services), "routes", c.Routes()}
+	k.node.log.Info("configuration in force", args...)
+	k.node.record("configuration in force", args)
 	k.node.loop.post(fleet.ConfigChanged{Version: o.Version, Keyed: c.Keyed()})
 }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -176,8 +176,10 @@
 	switch {
 	case err != nil && !l.away:
 		l.node.log.Warn("platform lost", "for", "fleet document", "error", err)
+		l.node.record("platform lost", []any{"error", err})
 	case err == nil && l.away:
 		l.node.log.Info("platform regained", "for", "fleet document")
+		l.node.record("platform regained", nil)
 	}
 	l.away = err != nil
 }
@@ -228,12 +230,13 @@
 		n.gate.Wake()
 		l.gaps.learned(r.View, n.self.Name, r.Held)
 		n.gauges.document.Store(r.Version)
-		n.gauges.members.Store(int64(len(r.View.Members)))
 	}
 	n.gauges.lease.Store(int64(n.machine.LeaseUntil()))
 	n.gauges.leads.Store(n.machine.Leads())
 	for _, note := range r.Notes {
-		n.decisions.Named("fleet").Info(note.Text, noteArgs(note.Args)...)
+		args := noteArgs(note.Args)
+		n.decisions.Named("fleet").Info(note.Text, args...)
+		n.record(note.Text, args)
 	}
 	for _, m := range r.Messages {
 		n.transport.Send(m.Addr, m.Body)
@@ -260,6 +263,9 @@
 	if platform.ErrNotFound.Has(err) {
 		o, err = platform.Object{Key: fleet.DocumentKey}, nil
 	}
+	if err == nil {
+		l.node.gauges.answered.Store(int64(clock.Now()))
+	}
 	l.post(fleet.DocumentRead{Object: o, SentAt: sent, Err: err})
 }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -2,13 +2,11 @@
 
 import (
 	"fmt"
-	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/fleet"
 )
 
@@ -18,7 +16,8 @@
 	document atomic.Uint64
 	leads    atomic.Bool
 	rows     atomic.Int64
-	members  atomic.Int64
+	// answered is when the platform last answered a read of the document.
+	answered atomic.Int64
 }
 
 // counters of the control side.
@@ -33,11 +32,7 @@
 // register makes the gauges of a node visible.
 func (n *Node) register() {
 	gauge := func(name string, f func() float64) { n.metrics.NewGauge(name, f) }
-	gauge("fulmarhinge_lease_left_seconds", func() float64 {
-		return max(0, clock.Mono(n.gauges.lease.Load()).Sub(clock.Now()).Seconds())
-	})
 	gauge("fulmarhinge_document_version", func() float64 { return float64(n.gauges.document.Load()) })
-	gauge("fulmarhinge_members", func() float64 { return float64(n.gauges.members.Load()) })
 	gauge("fulmarhinge_config_version", func() float64 { return float64(n.entry.ConfigVersion()) })
 	gauge("fulmarhinge_rows_held", func() float64 { return float64(n.gauges.rows.Load()) })
 	gauge("fulmarhinge_leads", func() float64 {
@@ -48,12 +43,6 @@
 	})
 }
 
-// writeMetrics answers with the metrics of the process and of this node.
-func (n *Node) writeMetrics(w http.ResponseWriter, _ *http.Request) {
-	n.metrics.WritePrometheus(w)
-	metrics.WritePrometheus(w, true)
-}
-
 // noteArgs puts times into ms, so that lines have plain numbers.
 func noteArgs(args []any) []any {
 	out := make([]any, len(args))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -21,9 +21,11 @@
 	"fulmarhinge/internal/fleet"
 	"fulmarhinge/internal/gate"
 	"fulmarhinge/internal/ingress"
+	"fulmarhinge/internal/operator"
 	"fulmarhinge/internal/peer"
 	"fulmarhinge/internal/platform"
 	"fulmarhinge/internal/route"
+	"fulmarhinge/internal/timeline"
 	"fulmarhinge/internal/upstream"
 	"fulmarhinge/internal/wire"
 )
@@ -70,8 +72,13 @@
 	view      atomic.Pointer[ingress.View]
 	gauges    gauges
 	metrics   *metrics.Set
+	// events holds the newest decisions of the control goroutine.
+	events *timeline.Ring
+	// drain begins the planned stop.
+	drain     context.CancelFunc
 	stopping  atomic.Bool
 	listeners []net.Listener
+	operator  *operator.Server
 	serving   sync.WaitGroup
 }
 
@@ -91,6 +98,8 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(s.Resources.MemoryMB) * (1 << 20)))
 	debug.SetGCPercent(collectAt)
 	n := newNode(s, o, log, decisions)
+	ctx, n.drain = context.WithCancel(ctx)
+	defer n.drain()
 	if err := n.listen(); err != nil {
 		return err
 	}
@@ -116,10 +125,12 @@
 		self: cluster.MemberRef{Name: s.Name, Incarnation: uint64(now.UnixNano())},
 	}
 	n.settings.Store(s)
+	n.events = timeline.NewRing(n.self, keptEvents, timeline.NewClock(time.Now))
 	timing := fleet.DefaultTiming()
 	timing.MaxHold = duration(s.Bounds.MaxHold)
 	n.machine = fleet.New(clock.Now(), fleet.Params{
-		Self: n.self, Addr: s.Listen.peerAddress(), Zone: s.Zone, Weight: s.Resources.CPUShare * s.Resources.LinkMbps, Nonce: fmt.Sprintf("%x", now.UnixNano()), Timing: timing,
+		Self: n.self, Addr: s.Listen.peerAddress(), Zone: s.Zone, Weight: s.Resources.CPUShare * s.Resources.LinkMbps,
+		Operator: s.Listen.Metrics, Nonce: fmt.Sprintf("%x", now.UnixNano()), Timing: timing,
 	})
 	n.loop = newLoop(n)
 	n.client = upstream.NewClient(s.BackendAddress, o.Servers)
@@ -132,6 +143,7 @@
 		Self: n.self, Zone: s.Zone, Service: s.Service, Headers: o.Callers, Gate: n.gate, Peers: n.transport, Logger: log,
 		Decisions: decisions,
 	})
+	n.entry.SampleServed(s.Log.ServedOneIn)
 	n.config = newConfigKeeper(n)
 	n.register()
 	return n
@@ -160,13 +172,21 @@
 	if err := n.transport.Listen(); err != nil {
 		return err
 	}
-	for _, addr := range []string{n.settings.Load().Listen.Callers, n.settings.Load().Listen.Reports, n.settings.Load().Listen.Ready, n.settings.Load().Listen.Metrics} {
+	l := n.settings.Load().Listen
+	for _, addr := range []string{l.Callers, l.Reports, l.Ready} {
 		ln, err := net.Listen("tcp", addr)
 		if err != nil {
 			return err
 		}
 		n.listeners = append(n.listeners, ln)
 	}
+	op, err := operator.New(operator.Config{Listen: l.Metrics, Metrics: n.metrics}, n, n.log)
+	if err != nil {
+		// Requests are served without it.
+		n.log.Error("no endpoint for operators and metrics", "error", err)
+		return nil
+	}
+	n.operator = op
 	return nil
 }
 
@@ -188,7 +208,10 @@
 			n.log.Warn("report of the backend server refused", "why", why)
 		},
 	})
-	handlers := []http.Handler{reports, http.HandlerFunc(n.readiness), http.HandlerFunc(n.writeMetrics)}
+	if n.operator != nil {
+		n.start("operators", func() error { return n.operator.Run(ctx) })
+	}
+	handlers := []http.Handler{reports, http.HandlerFunc(n.readiness)}
 	for i, h := range handlers {
 		srv := &http.Server{Handler: h, ReadHeaderTimeout: controlHeaderTime, IdleTimeout: controlIdle}
 		ln := n.listeners[i+1]
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -7,6 +7,8 @@
 	"os/signal"
 	"syscall"
 	"time"
+
+	"github.com/hashicorp/go-hclog"
 )
 
 // reloadEvery is the time between two looks at the settings file, which may
@@ -59,12 +61,17 @@
 	old := n.settings.Load()
 	fixed, wanted := *old, *s
 	fixed.Bounds, wanted.Bounds = Bounds{}, Bounds{}
+	fixed.Log, wanted.Log = Log{}, Log{}
 	if fixed != wanted {
-		n.log.Warn("settings besides the bounds take effect at the next start", "signal", signalled)
+		n.log.Warn("settings besides bounds and log take effect at the next start", "signal", signalled)
 	}
 	next := *old
-	next.Bounds = s.Bounds
+	next.Bounds, next.Log = s.Bounds, s.Log
 	n.settings.Store(&next)
 	n.gate.SetDrain(duration(s.Bounds.Drain))
-	n.log.Info("settings in force", "signal", signalled, "changed", old.Bounds != s.Bounds)
+	n.entry.SampleServed(s.Log.ServedOneIn)
+	for _, l := range []hclog.Logger{n.log, n.decisions} {
+		l.SetLevel(hclog.LevelFromString(s.Log.LevelName()))
+	}
+	n.log.Info("settings in force", "signal", signalled, "changed", *old != next)
 }
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"fulmarhinge/internal/settings"
@@ -25,6 +26,24 @@
 	Platform       Platform  `json:"platform"`
 	Resources      Resources `json:"resources"`
 	Bounds         Bounds    `json:"bounds"`
+	Log            Log       `json:"log,omitzero"`
+}
+
+// Log says what is logged.
+type Log struct {
+	// Level is debug, info, warn or error; info if empty.
+	Level string `json:"level,omitempty"`
+	// ServedOneIn is the number of requests served at the first try of which one
+	// gets a line; 0 gives none a line.
+	ServedOneIn int64 `json:"served_one_in,omitempty"`
+}
+
+// LevelName returns the level, the default if none is set.
+func (l Log) LevelName() string {
+	if l.Level == "" {
+		return "info"
+	}
+	return l.Level
 }
 
 // Listen holds the IP:port of each listener.
@@ -154,6 +173,12 @@
 			add(f.path, "got %v; expected 0 or more", f.value)
 		}
 	}
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.LevelName()) {
+		add("log.level", "got %q; expected debug, info, warn or error", s.Log.Level)
+	}
+	if s.Log.ServedOneIn < 0 {
+		add("log.served_one_in", "got %d; expected 0 or more", s.Log.ServedOneIn)
+	}
 	return found
 }
 
--- a/internal/sidecar/settings_test.go
+++ b/internal/sidecar/settings_test.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"fulmarhinge/internal/gate"
+	"fulmarhinge/internal/ingress"
 	"fulmarhinge/internal/settings"
 )
 
@@ -33,6 +34,8 @@
 	tests := []struct{ name, from, to, path string }{
 		{"empty name", `"name":"n1"`, `"name":""`, "name"},
 		{"advertised host name", `"peers":"10.0.0.1:4"`, `"peers":"10.0.0.1:4","peers_advertised":"host:4"`, "listen.peers_advertised"},
+		{"unknown level", `"bounds":{`, `"log":{"level":"loud"},"bounds":{`, "log.level"},
+		{"sampling below 0", `"bounds":{`, `"log":{"served_one_in":-1},"bounds":{`, "log.served_one_in"},
 		{"source host name", `"peers":"10.0.0.1:4"`, `"peers":"10.0.0.1:4","peers_from":"host"`, "listen.peers_from"},
 		{"host name", `"peers":"10.0.0.1:4"`, `"peers":"host:4"`, "listen.peers"},
 		{"no port", `"backend_address":"10.0.0.1:80"`, `"backend_address":"10.0.0.1"`, "backend_address"},
@@ -63,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	filled := regexp.MustCompile(`"\{\{ip\}\}:\{\{[^}]*\}\}"`).ReplaceAllString(string(b), `"10.0.0.1:7"`)
+	filled := strings.ReplaceAll(string(b), `{{ip}}`, `10.0.0.1`)
 	filled = regexp.MustCompile(`("(?:backend_address|address|callers|reports|ready)": )\{\{[^}]*\}\}`).ReplaceAllString(filled, `$1"10.0.0.1:8"`)
 	filled = regexp.MustCompile(`("(?:name|zone|region|service)": )\{\{[^}]*\}\}`).ReplaceAllString(filled, `$1"x"`)
 	filled = regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllString(filled, "1")
@@ -102,7 +105,9 @@
 	}
 	var out strings.Builder
 	n := &Node{log: hclog.New(&hclog.LoggerOptions{Output: &out}), metrics: metrics.NewSet()}
+	n.decisions = n.log.Named("decisions")
 	n.gate = gate.New(gate.Config{Logger: hclog.NewNullLogger()})
+	n.entry = ingress.New(ingress.Config{Logger: hclog.NewNullLogger(), Decisions: hclog.NewNullLogger()})
 	n.settings.Store(s)
 	n.takeSettings([]byte(strings.Replace(goodSettings, `"retry_extra":56`, `"retry_extra":204`, 1)), true)
 	if got := n.settings.Load().Bounds.RetryExtra; got != 204 {
@@ -116,6 +121,10 @@
 	if n.settings.Load().Zone != "z" || !strings.Contains(out.String(), "next start") {
 		t.Errorf("zone %s; log: %s", n.settings.Load().Zone, out.String())
 	}
+	n.takeSettings([]byte(strings.Replace(goodSettings, `"bounds":{`, `"log":{"level":"warn"},"bounds":{`, 1)), false)
+	if n.log.IsInfo() || n.decisions.IsInfo() {
+		t.Error("lines of level info are written after a change to warn")
+	}
 	path := filepath.Join(t.TempDir(), "settings.json")
 	if err := os.WriteFile(path, []byte(goodSettings), 0o600); err != nil {
 		t.Fatal(err)
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -132,9 +132,10 @@
 		if m.process != process {
 			return
 		}
+		wait := time.Until(begun.Add((drainS+graceS)*time.Second + time.Second))
 		select {
 		case <-exited:
-		case <-time.After(time.Until(begun.Add((drainS+graceS)*time.Second + time.Second))):
+		case <-time.After(max(wait, 10*time.Millisecond)):
 			if !m.paused {
 				f.judge.complain("%s has not ended %v after it was stopped", m.name, time.Since(begun))
 			}
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -69,19 +69,26 @@
 	http     *http.Client
 }
 
-// freePort gives out ports below those that the kernel gives to connections.
+// loopback returns a loopback address of this process's own, so that no other
+// play takes a port while the process that listens on it is away.
+func loopback(host int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, host)
+}
+
+// firstPort lies above the ports that need rights and below those that the
+// kernel gives to connections.
+const firstPort = 20000
+
+var portsGiven atomic.Int64
+
+// freePort gives out an address that was not given out before.
 func freePort() string {
-	for {
-		port := 20000 + (os.Getpid()*64+int(portsTried.Add(1)))%10000
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
-		if ln, err := net.Listen("tcp", address); err == nil {
-			_ = ln.Close()
-			return address
-		}
-	}
+	return net.JoinHostPort(loopback(nodesHost), strconv.Itoa(firstPort+int(portsGiven.Add(1))))
 }
 
-var portsTried atomic.Int64
+// nodesHost is the last byte of the address that all listeners share.
+const nodesHost = 254
 
 func newFleet(t *testing.T, seed int64, machines int) *fleet {
 	t.Helper()
@@ -140,7 +147,7 @@
 		Name: name, Zone: "z", Service: service, BackendAddress: freePort(),
 		Listen: sidecar.Listen{
 			Callers: freePort(), Reports: reports, Ready: freePort(), Peers: peers, PeersAdvertised: freePort(), Metrics: freePort(),
-			PeersFrom: fmt.Sprintf("127.0.1.%d", i+1),
+			PeersFrom: loopback(i + 1),
 		},
 		Platform:  sidecar.Platform{Address: freePort(), WritesPerSec: 400, ReadsPerSec: 2000},
 		Resources: sidecar.Resources{MemoryMB: 1024, CPUShare: 1, LinkMbps: 1000},
