--- a/internal/cli/drain.go
+++ b/internal/cli/drain.go
@@ -80,29 +80,24 @@
 		return err
 	}
 	m.State = cluster.StateDraining
-	if wait == 0 {
-		return a.printOrder(m)
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
+	return a.await(ctx, m, wait, func(ctx context.Context) (cluster.Member, bool) {
+		now := m
+		now.State = cluster.StateLeft
 		status, err := a.client().Status(ctx, m.OperatorAddr)
-		if operator.ErrUnreachable.Has(err) && ctx.Err() == nil || err == nil && status.Incarnation != m.Incarnation {
-			m.State = cluster.StateLeft
-			return a.printOrder(m)
-		}
-		select {
-		case <-ctx.Done():
-			return timeoutError.New("%s is not gone after %s", m.MemberRef, wait)
-		case <-ticker.C:
-		}
-	}
+		return now, operator.ErrUnreachable.Has(err) && ctx.Err() == nil || err == nil && status.Incarnation != m.Incarnation
+	})
 }
 
 // awaitGone waits until the platform records that this incarnation is gone.
 func (a *app) awaitGone(ctx context.Context, store platform.Store, m cluster.Member, wait time.Duration) error {
+	return a.await(ctx, m, wait, func(ctx context.Context) (cluster.Member, bool) {
+		now, err := operator.Member(ctx, store, m.Name)
+		return now, err == nil && (now.State.Gone() || now.Incarnation != m.Incarnation)
+	})
+}
+
+// await prints the member once it is gone; it asks until the wait is over.
+func (a *app) await(ctx context.Context, m cluster.Member, wait time.Duration, gone func(context.Context) (cluster.Member, bool)) error {
 	if wait == 0 {
 		return a.printOrder(m)
 	}
@@ -111,8 +106,7 @@
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		now, err := operator.Member(ctx, store, m.Name)
-		if err == nil && (now.State.Gone() || now.Incarnation != m.Incarnation) {
+		if now, ok := gone(ctx); ok {
 			return a.printOrder(now)
 		}
 		select {
