Look what came behind a request that was held up before it is sent on

Ruled out: the caller's departure not passed on (the same second has 18 lines "cancelled before dispatch").

A gate now waits 5 ms for a departure if a peer's request was held up by more than 200 ms, an entry does so for requests that it finds on waking, and an entry that closes a stream waits for nothing more.

Tests that failed first: TestLeftBehindRequest (1 of 50 reached the backend server), TestLeftWhileStandingStill.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -36,6 +36,12 @@
 	// answerGrace is how long after its deadline a request may still be
 	// answered: an answer that is ready is delivered.
 	answerGrace = 100 * time.Millisecond
+	// heldUp is how late a peer's request must come for a look at what came behind
+	// it: a node or link that stood still for so long may have the peer's
+	// departure waiting as well.
+	heldUp = 200 * time.Millisecond
+	// behindWait is the time for that look; what waits is read in less.
+	behindWait = 5 * time.Millisecond
 	// misdirectedTries is how often a key is tried that the server says it does
 	// not hold: once more, after its next report.
 	misdirectedTries = 2
@@ -397,6 +403,19 @@
 	return out, answer
 }
 
+// stays waits for what came behind a request that was held up, and reports
+// whether the peer still wants its answer.
+func stays(ctx context.Context) bool {
+	timer := time.NewTimer(behindWait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // ServeStream answers one request of a peer.
 func (g *Gate) ServeStream(ctx context.Context, from cluster.MemberRef, conn net.Conn) {
 	_ = conn.SetReadDeadline(time.Now().Add(headTimeout))
@@ -421,6 +440,9 @@
 		_, _ = conn.Read(one[:])
 		cancel()
 	}()
+	if late > heldUp && !stays(ctx) {
+		return
+	}
 	out, answer := g.doRemote(ctx, h, body, left)
 	if h.GetBulk() && len(answer) > 0 {
 		err = g.link.send(ctx, func() error {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -215,6 +215,33 @@
 	}
 }
 
+// TestLeftBehindRequest has requests arrive late with the peer's departure right
+// behind them, as after a pause of the node: none reaches the backend server.
+func TestLeftBehindRequest(t *testing.T) {
+	b := &backend{}
+	g := newGate(t, b, always(true))
+	from := cluster.MemberRef{Name: "p", Incarnation: 1}
+	g.transit.excess(from, time.Duration(clock.Now()), time.Duration(clock.Now()))
+	for range 50 {
+		near, far := net.Pipe()
+		ended := make(chan struct{})
+		go func() {
+			g.ServeStream(context.Background(), from, far)
+			close(ended)
+		}()
+		h := head("5")
+		h.SentUs = int64((time.Duration(clock.Now()) - 300*time.Millisecond) / time.Microsecond)
+		if err := peer.WriteUnary(near, h, nil); err != nil {
+			t.Fatal(err)
+		}
+		_ = near.Close()
+		<-ended
+	}
+	if n := b.calls.Load(); n != 0 {
+		t.Errorf("%d of 50 requests of a peer that had left reached the backend server", n)
+	}
+}
+
 // TestTransit checks the estimate of how long messages were held up.
 func TestTransit(t *testing.T) {
 	var tr transit
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -116,6 +116,9 @@
 	if refused := q.readBody(w, cfg.Limits); refused != nil {
 		return refused, nil
 	}
+	if s.awake.sign(clock.Now()) && !stays(q.http.Context()) {
+		return refusal(result.CancelledBefore, 0), nil
+	}
 	q.forwardHeaders()
 	s.budget.earn(q.begun, q.service)
 	return q.run()
@@ -304,7 +307,11 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(q.deadline.Add(answerSlack))
 	if q.route.Idempotent {
-		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		stop := context.AfterFunc(ctx, func() {
+			_ = conn.Close()
+			// The far end answers nothing more; the wait for it ends here.
+			_ = conn.SetReadDeadline(time.Unix(1, 0))
+		})
 		defer stop()
 	}
 	if err := peer.WriteUnary(conn, head, q.body); err != nil {
--- a/internal/ingress/serve_test.go
+++ b/internal/ingress/serve_test.go
@@ -11,11 +11,13 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/fleet"
 	"fulmarhinge/internal/peer"
@@ -442,3 +444,35 @@
 		t.Errorf("%d lines for 40 served requests, one in 10", n)
 	}
 }
+
+// TestLeftWhileStandingStill has callers leave while the process stands still:
+// what it finds of them on waking reaches no gate.
+func TestLeftWhileStandingStill(t *testing.T) {
+	reached := atomic.Int64{}
+	srv, s, _ := newEntry(t, func(context.Context, *wire.RequestHead, []byte) (*wire.ResponseHead, []byte) {
+		reached.Add(1)
+		return ok("b")
+	}, nil)
+	s.Alive()
+	for range 30 {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(srv.URL, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.awake.last.Store(int64(clock.Now().Add(-time.Second)))
+		if _, err := io.WriteString(conn, "GET /keyed/x HTTP/1.1\r\nHost: h\r\nId: r\r\nKey: 5\r\nLeft-Ms: 900\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.Close()
+		time.Sleep(behindWait + 5*time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	if n := reached.Load(); n != 0 {
+		t.Errorf("%d of 30 requests of callers that had left reached a gate", n)
+	}
+	s.awake.last.Store(int64(clock.Now()))
+	s.awake.woke.Store(0)
+	if resp, _ := call(t, srv, http.MethodGet, "/keyed/x", "r1", "", "Key", "5", "Left-Ms", "900"); resp.StatusCode != http.StatusOK {
+		t.Errorf("a request in time: %d", resp.StatusCode)
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/fleet"
 	"fulmarhinge/internal/route"
@@ -65,6 +66,7 @@
 	picker   *picker
 	budget   *budget
 	outcomes *outcomes
+	awake    awake
 	// servedOneIn is the sampling of served requests, served counts them.
 	servedOneIn, served atomic.Int64
 	counts              *counts
@@ -146,6 +148,9 @@
 	return n > 0 && s.served.Add(1)%n == 0
 }
 
+// Alive is called every 40 ms, so that a pause of the process is noticed.
+func (s *Server) Alive() { s.awake.sign(clock.Now()) }
+
 // Flush sums up the outcomes that got no line of their own.
 func (s *Server) Flush() { s.outcomes.flush(time.Now()) }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -186,6 +186,7 @@
 
 func (l *loop) tick() {
 	now := time.Now()
+	l.node.entry.Alive()
 	if now.Sub(l.sampled) >= sampleEvery {
 		l.sampled = now
 		spans, mean := l.node.gate.Sample()
