--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -7,6 +7,7 @@
 
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/platform"
+	"fulmarhinge/internal/wire"
 )
 
 // calmSim returns a fleet that has come to rest, without lost messages.
@@ -155,3 +156,83 @@
 		t.Errorf("40 s after the last member was lost %d keys are held", held)
 	}
 }
+
+// renewals counts the answers to a member among a leader's messages, and those
+// that renew its lease.
+func renewals(r Ready, addr string) (answers, renewed int) {
+	for _, m := range r.Messages {
+		if a := m.Body.GetStatusAnswer(); a != nil && m.Addr == addr {
+			answers++
+			if a.GetRenewed() {
+				renewed++
+			}
+		}
+	}
+	return answers, renewed
+}
+
+// TestAdoptionNeedsMajority restarts a member in an outage: the leader renews it
+// only once a majority is known to have followed since the restart, as a later
+// leader may have moved its rows while it was known there.
+func TestAdoptionNeedsMajority(t *testing.T) {
+	s := calmSim(1, 5)
+	leader := s.leader()
+	m := leader.machine
+	restarted := s.nodes[0]
+	if restarted == leader {
+		restarted = s.nodes[1]
+	}
+	ref := cluster.MemberRef{Name: restarted.name, Incarnation: restarted.incarnation + 1}
+	status := &wire.NodeStatus{Seq: 1, Term: m.doc.Term, DocumentVersion: m.version, PeerAddr: restarted.name}
+	m.Ready()
+	m.Step(s.now, Message{From: ref, Body: &wire.Control{Body: &wire.Control_NodeStatus{NodeStatus: status}}})
+	if answers, renewed := renewals(m.Ready(), restarted.name); answers != 1 || renewed != 0 {
+		t.Errorf("%d answers, %d renew the lease before a majority has followed since the restart", answers, renewed)
+	}
+	for _, n := range s.nodes[1:] {
+		echo := &wire.NodeStatus{
+			Seq: 1 << 20, Term: m.doc.Term, DocumentVersion: m.version, PeerAddr: n.name, Verified: true,
+			Echo: int64(s.now) + 1, EchoFrom: leader.incarnation,
+		}
+		from := cluster.MemberRef{Name: n.name, Incarnation: n.incarnation}
+		m.Step(s.now, Message{From: from, Body: &wire.Control{Body: &wire.Control_NodeStatus{NodeStatus: echo}}})
+	}
+	m.Ready()
+	status.Seq++
+	m.Step(s.now, Message{From: ref, Body: &wire.Control{Body: &wire.Control_NodeStatus{NodeStatus: status}}})
+	if answers, renewed := renewals(m.Ready(), restarted.name); answers != 1 || renewed != 1 {
+		t.Errorf("%d answers, %d renew the lease after a majority has followed", answers, renewed)
+	}
+}
+
+// TestSurrenderWaits moves a row whose grant may still be on its way: the node
+// releases it only when that grant has run out, though the server does not list
+// the row.
+func TestSurrenderWaits(t *testing.T) {
+	s := calmSim(1, 3)
+	m := s.nodes[0].machine
+	v := s.nodes[0].server
+	report := Report{Life: v.life, Service: "svc", Slots: 8, Ready: true, Seq: 1 << 20}
+	granted := m.Report(s.now, report)
+	if len(granted.Rows) == 0 {
+		t.Fatal("nothing was granted")
+	}
+	moved := m.doc.clone()
+	for i, r := range moved.Tables["svc"] {
+		if r.Owner == s.nodes[0].name {
+			moved.Tables["svc"][i].Next = s.nodes[1].name
+			break
+		}
+	}
+	m.adopt(moved, m.version+1)
+	report.Seq++
+	m.Report(s.now.Add(time.Second), report)
+	if n := len(m.local.released); n != 0 {
+		t.Errorf("%d rows released while a grant of them may be on its way", n)
+	}
+	report.Seq++
+	m.Report(s.now.Add(DefaultTiming().Lease+time.Second), report)
+	if n := len(m.local.released); n != 1 {
+		t.Errorf("%d rows released after the grant has run out", n)
+	}
+}
