--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -69,27 +69,6 @@
 	http     *http.Client
 }
 
-// loopback returns a loopback address of this process's own, so that no other
-// play takes a port while the process that listens on it is away.
-func loopback(host int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, host)
-}
-
-// firstPort lies above the ports that need rights and below those that the
-// kernel gives to connections.
-const firstPort = 20000
-
-var portsGiven atomic.Int64
-
-// freePort gives out an address that was not given out before.
-func freePort() string {
-	return net.JoinHostPort(loopback(nodesHost), strconv.Itoa(firstPort+int(portsGiven.Add(1))))
-}
-
-// nodesHost is the last byte of the address that all listeners share.
-const nodesHost = 254
-
 func newFleet(t *testing.T, seed int64, machines int) *fleet {
 	t.Helper()
 	f := &fleet{
@@ -100,7 +79,7 @@
 		f.dir = filepath.Join(*keep, fmt.Sprintf("seed-%d", seed))
 		must(t, os.MkdirAll(f.dir, 0o755))
 	}
-	address := freePort()
+	address := standin.Address()
 	ln, err := net.Listen("tcp", address)
 	must(t, err)
 	f.storeSrv = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Second}
@@ -142,14 +121,14 @@
 		service = "plain"
 	}
 	m := &machine{name: name, dir: f.dir}
-	backend, peers, reports := freePort(), freePort(), freePort()
+	backend, peers, reports := standin.Address(), standin.Address(), standin.Address()
 	m.settings = &sidecar.Settings{
-		Name: name, Zone: "z", Service: service, BackendAddress: freePort(),
+		Name: name, Zone: "z", Service: service, BackendAddress: standin.Address(),
 		Listen: sidecar.Listen{
-			Callers: freePort(), Reports: reports, Ready: freePort(), Peers: peers, PeersAdvertised: freePort(), Metrics: freePort(),
-			PeersFrom: loopback(i + 1),
+			Callers: standin.Address(), Reports: reports, Ready: standin.Address(), Peers: peers, PeersAdvertised: standin.Address(), Metrics: standin.Address(),
+			PeersFrom: standin.Loopback(i + 1),
 		},
-		Platform:  sidecar.Platform{Address: freePort(), WritesPerSec: 400, ReadsPerSec: 2000},
+		Platform:  sidecar.Platform{Address: standin.Address(), WritesPerSec: 400, ReadsPerSec: 2000},
 		Resources: sidecar.Resources{MemoryMB: 1024, CPUShare: 1, LinkMbps: 1000},
 		Bounds: sidecar.Bounds{Drain: drainS, Grace: graceS, ConfigApply: configApplyS, MaxHold: 10,
 			RetryRatio: retryRatio, RetryExtra: retryExtra, RetryWindow: retryWindowS, ReportPeriod: reportPeriodS},
@@ -161,7 +140,7 @@
 	must(t, err)
 	m.store, err = newProxy(m.settings.Platform.Address, store)
 	must(t, err)
-	reported := freePort()
+	reported := standin.Address()
 	m.reports, err = newProxy(reported, reports)
 	must(t, err)
 	m.backend = standin.NewBackend(standin.BackendOptions{
