Weigh another zone as 25 ms, 200 ms for a large answer

What part of the traffic is control messages was not measured.

TestPick holds it: a near server with a free slot is picked, one with a queue is not (fails at 5 ms).

--- a/internal/ingress/pick.go
+++ b/internal/ingress/pick.go
@@ -13,11 +13,13 @@
 const (
 	// assumedWork is the service time of a server before the first answer.
 	assumedWork = 50 * time.Millisecond
-	// crossZone is what a backend server in another zone counts as slower.
-	crossZone = 5 * time.Millisecond
+	// crossZone is what a backend server in another zone counts as slower: about
+	// what half of a common service time is worth to a caller, as the traffic
+	// between zones is paid for.
+	crossZone = 25 * time.Millisecond
 	// crossZoneBulk is the same for a large answer: its bytes are what traffic
 	// between zones consists of.
-	crossZoneBulk = 100 * time.Millisecond
+	crossZoneBulk = 200 * time.Millisecond
 	// workWeight is that of the newest answer in a server's mean time.
 	workWeight = 0.1
 	// avoidFor is how long a server is avoided after it failed a request.
--- a/internal/ingress/serve_test.go
+++ b/internal/ingress/serve_test.go
@@ -391,6 +391,20 @@
 	if n := count(p, false); n["far"] != 100 {
 		t.Errorf("after a failure of the near one: %v", n)
 	}
+	for _, tc := range []struct {
+		name             string
+		running, waiting uint32
+		want             string
+	}{
+		{"the near server with a free slot", 3, 0, "near"},
+		{"the near server with a queue", 4, 4, "far"},
+	} {
+		p = newPicker("self", "z")
+		p.done(now, near, &wire.ResponseHead{Code: uint32(result.OK), ServedUs: 50000, Slots: 4, InFlight: tc.running, Waiting: tc.waiting})
+		if m := p.pick(now, members, nil, false); m.Name != tc.want {
+			t.Errorf("%s: picked %s", tc.name, m.Name)
+		}
+	}
 	p = newPicker("self", "z")
 	for range 40 {
 		p.pick(now, members, nil, false)
