--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -15,6 +15,7 @@
 	"fulmarhinge/internal/admission"
 	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/departure"
 	"fulmarhinge/internal/fleet"
 	"fulmarhinge/internal/peer"
 	"fulmarhinge/internal/result"
@@ -40,8 +41,6 @@
 	// it: a node or link that stood still for so long may have the peer's
 	// departure waiting as well.
 	heldUp = 200 * time.Millisecond
-	// behindWait is the time for that look; what waits is read in less.
-	behindWait = 5 * time.Millisecond
 	// misdirectedTries is how often a key is tried that the server says it does
 	// not hold: once more, after its next report.
 	misdirectedTries = 2
@@ -403,19 +402,6 @@
 	return out, answer
 }
 
-// stays waits for what came behind a request that was held up, and reports
-// whether the peer still wants its answer.
-func stays(ctx context.Context) bool {
-	timer := time.NewTimer(behindWait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // ServeStream answers one request of a peer.
 func (g *Gate) ServeStream(ctx context.Context, from cluster.MemberRef, conn net.Conn) {
 	_ = conn.SetReadDeadline(time.Now().Add(headTimeout))
@@ -440,7 +426,7 @@
 		_, _ = conn.Read(one[:])
 		cancel()
 	}()
-	if late > heldUp && !stays(ctx) {
+	if late > heldUp && !departure.Stays(ctx) {
 		return
 	}
 	out, answer := g.doRemote(ctx, h, body, left)
--- a/internal/ingress/awake.go
+++ b/internal/ingress/awake.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 
@@ -14,8 +13,6 @@
 	stoodStill = 300 * time.Millisecond
 	// wakingFor is how long requests may still be ones that waited meanwhile.
 	wakingFor = 30 * time.Millisecond
-	// behindWait is the time for a look at what came behind such a request.
-	behindWait = 5 * time.Millisecond
 )
 
 // awake tells requests that waited while the process stood still: their callers
@@ -33,16 +30,3 @@
 	woke := clock.Mono(a.woke.Load())
 	return woke > 0 && now.Sub(woke) < wakingFor
 }
-
-// stays reports whether a caller is still there after a look at what came
-// behind its request.
-func stays(ctx context.Context) bool {
-	timer := time.NewTimer(behindWait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fulmarhinge/internal/clock"
+	"fulmarhinge/internal/departure"
 	"fulmarhinge/internal/fleet"
 	"fulmarhinge/internal/header"
 	"fulmarhinge/internal/peer"
@@ -116,7 +117,7 @@
 	if refused := q.readBody(w, cfg.Limits); refused != nil {
 		return refused, nil
 	}
-	if s.awake.sign(clock.Now()) && !stays(q.http.Context()) {
+	if s.awake.sign(clock.Now()) && !departure.Stays(q.http.Context()) {
 		return refusal(result.CancelledBefore, 0), nil
 	}
 	q.forwardHeaders()
--- a/internal/ingress/serve_test.go
+++ b/internal/ingress/serve_test.go
@@ -478,7 +478,7 @@
 			t.Fatal(err)
 		}
 		_ = conn.Close()
-		time.Sleep(behindWait + 5*time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(20 * time.Millisecond)
 	if n := reached.Load(); n != 0 {
