Pass a caller's departure on for requests that may not be repeated, too

Request of billing-act left its caller at 10.929 s while it waited at another node's gate and ran there at 11.583 s: the entry told gates of departures only for routes that may be repeated, so that nothing that runs is cut.

The gate makes that difference itself: it gives up what waits, and its client lets go on what runs and may not be repeated. The entry now always tells it.

TestLeftWhileWaiting: for /act/ the gate had not heard after 0.5 s, now it has.

--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -307,14 +307,14 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(q.deadline.Add(answerSlack))
-	if q.route.Idempotent {
-		stop := context.AfterFunc(ctx, func() {
-			_ = conn.Close()
-			// The far end answers nothing more; the wait for it ends here.
-			_ = conn.SetReadDeadline(time.Unix(1, 0))
-		})
-		defer stop()
-	}
+	// The gate gives up what waits there, and lets go on what runs and may not be
+	// repeated.
+	stop := context.AfterFunc(ctx, func() {
+		_ = conn.Close()
+		// The far end answers nothing more; the wait for it ends here.
+		_ = conn.SetReadDeadline(time.Unix(1, 0))
+	})
+	defer stop()
 	if err := peer.WriteUnary(conn, head, q.body); err != nil {
 		return q.lost(err), nil
 	}
--- a/internal/ingress/serve_test.go
+++ b/internal/ingress/serve_test.go
@@ -58,6 +58,12 @@
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
+		go func() {
+			// The entry sends nothing more: the read ends when it closes.
+			var one [1]byte
+			_, _ = far.Read(one[:])
+			cancel()
+		}()
 		out, answer := gate.Do(ctx, h, body)
 		if out.GetCode() == 0 {
 			return
@@ -490,3 +496,39 @@
 		t.Errorf("a request in time: %d", resp.StatusCode)
 	}
 }
+
+// TestLeftWhileWaiting has a caller leave while its request waits at another
+// node's gate: the gate hears of it, whatever may be repeated. It is the gate
+// that lets go on what runs and must not be cut.
+func TestLeftWhileWaiting(t *testing.T) {
+	for _, path := range []string{"/read/x", "/act/x"} {
+		waiting, left := make(chan struct{}), make(chan struct{})
+		gate := func(ctx context.Context, _ *wire.RequestHead, _ []byte) (*wire.ResponseHead, []byte) {
+			close(waiting)
+			<-ctx.Done()
+			close(left)
+			return refused(result.CancelledBefore, false)
+		}
+		srv, _, _ := newEntry(t, nil, fakePeers{"p1": gate, "p2": gate})
+		ctx, leave := context.WithCancel(context.Background())
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, srv.URL+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "h"
+		req.Header.Set("Id", "r1")
+		req.Header.Set("Left-Ms", "5000")
+		go func() {
+			if resp, err := http.DefaultClient.Do(req); err == nil {
+				_ = resp.Body.Close()
+			}
+		}()
+		<-waiting
+		leave()
+		select {
+		case <-left:
+		case <-time.After(500 * time.Millisecond):
+			t.Errorf("%s: the gate has not heard after 0.5 s that the caller left", path)
+		}
+	}
+}
