Log and count what a backend server states about itself in its answers

Change: the client decodes the limit and the leaving mark, with a typed error for a limit that cannot be read. The gate writes a line when either changes, and counts the requests that it sends; fulmarhinge_backend_limit and fulmarhinge_backend_requests_sent_total. A 421 may come from another server at the address, so its headers say nothing. No decision depends on any of this yet.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -84,6 +84,7 @@
 	drainPeriod atomic.Int64
 	delays      delayEstimator
 	silence     silence
+	notices     notices
 	healthPath  atomic.Pointer[string]
 }
 
@@ -346,10 +347,12 @@
 		return refuse(result.BackendBusy, silenceCheckTimeout), nil, false
 	}
 	expected := g.queue.ServiceTime(queued.Class)
+	requestsSent.Inc()
 	resp, err := g.client.Do(ctx, r.upstreamRequest(s))
 	serviceTime = time.Since(start)
 	if err == nil {
 		g.silence.answered(time.Now())
+		g.recordNotice(s.Instance, start, resp)
 	}
 	switch {
 	case upstream.ErrNotSent.Has(err):
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -38,6 +38,11 @@
 	NotRun string
 	// Proof is set in every response that the server itself generated.
 	Proof string
+	// Limit carries the requests per second that the server takes from all
+	// callers together, as a decimal number; Leaving is 1 once it leaves. Either
+	// name may be empty.
+	Limit   string
+	Leaving string
 }
 
 // Request is a request with its whole body.
@@ -64,6 +69,11 @@
 	Body   []byte
 	// NotRun is true if the server stated that it did not run the request.
 	NotRun bool
+	// Notice is what the server states about itself. It is nil if the response
+	// may be that of another server at the address. NoticeErr is set if a part
+	// of it cannot be read; its class is ErrMalformedNotice.
+	Notice    *Notice
+	NoticeErr error
 }
 
 // Client sends requests to one backend server.
@@ -190,6 +200,10 @@
 	case resp.StatusCode/100 == 2 && resp.Header.Get(c.headers.Proof) == "":
 		return nil, false, ErrUnknownOutcome.Wrap(errNoProof)
 	}
+	if resp.StatusCode != http.StatusMisdirectedRequest {
+		n, err := c.notice(resp.Header)
+		out.Notice, out.NoticeErr = &n, err
+	}
 	cn.idleLimit = keepAliveTimeout(resp.Header)
 	reusable := !resp.Close && cn.br.Buffered() == 0 && cn.idleLimit > 0
 	return out, reusable, nil
