--- /dev/null
+++ b/internal/gate/notice_test.go
@@ -0,0 +1,95 @@
+package gate
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// limitWindow, limitFactor and limitExtra bound the requests that a server may get in
+	// any window: limitFactor times what its limit allows, plus limitExtra.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitExtra  = 5
+)
+
+// arrivals records when requests reach a server.
+type arrivals struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (a *arrivals) add() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.times = append(a.times, time.Now())
+}
+
+// most returns the highest number of arrivals in one window.
+func (a *arrivals) most(window time.Duration) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	most, first := 0, 0
+	for i := range a.times {
+		for a.times[i].Sub(a.times[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// sendSteadily sends requests at a steady rate per second, each on its own goroutine, for
+// the given time and waits for all of them.
+func sendSteadily(duration time.Duration, rate int, send func()) {
+	var callers sync.WaitGroup
+	for start := time.Now(); time.Since(start) < duration; time.Sleep(time.Second / time.Duration(rate)) {
+		callers.Go(send)
+	}
+	callers.Wait()
+}
+
+// TestNamedLimitIsKept guards against a server that gets more requests than the limit
+// which its answers name.
+func TestNamedLimitIsKept(t *testing.T) {
+	const limit = 10.0
+	var reached arrivals
+	b := &backend{respond: func(w http.ResponseWriter, _ *http.Request, _ int64) {
+		reached.add()
+		w.Header().Set("Limit", fmt.Sprint(limit))
+		time.Sleep(10 * time.Millisecond)
+	}}
+	g := newGate(t, b, always(true))
+	g.Do(t.Context(), head("5"), nil)
+	sendSteadily(limitWindow+time.Second, 100, func() { g.Do(t.Context(), head("5"), nil) })
+	allowed := limitFactor*limit*limitWindow.Seconds() + limitExtra
+	if got := reached.most(limitWindow); float64(got) > allowed {
+		t.Errorf("the server got %d requests in %v, allowed %.0f", got, limitWindow, allowed)
+	}
+}
+
+// TestLeavingStatedInAnswers guards against requests to a server later than its drain
+// period after its answers have stated that it leaves.
+func TestLeavingStatedInAnswers(t *testing.T) {
+	var reached arrivals
+	b := &backend{respond: func(w http.ResponseWriter, _ *http.Request, _ int64) {
+		reached.add()
+		w.Header().Set("Leaving", "1")
+	}}
+	g := newGate(t, b, always(true))
+	g.Do(t.Context(), head("5"), nil)
+	drained := time.Now().Add(time.Duration(g.drainPeriod.Load()))
+	sendSteadily(time.Until(drained)+500*time.Millisecond, 50, func() { g.Do(t.Context(), head("5"), nil) })
+	late := 0
+	for _, at := range reached.times {
+		if at.After(drained) {
+			late++
+		}
+	}
+	if late > 0 {
+		t.Errorf("%d requests reached the server after its drain period", late)
+	}
+}
--- /dev/null
+++ b/internal/upstream/endless_test.go
@@ -0,0 +1,113 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// endlessBytes is what a test server writes at most when it writes without end. It is well
+// above what the sockets of both sides buffer.
+const endlessBytes = 64 << 20
+
+// writeWithoutEnd writes text again and again until the client closes the connection, or
+// endlessBytes are written. It returns how many bytes were written.
+func writeWithoutEnd(conn net.Conn, text string) int64 {
+	chunk := []byte(strings.Repeat(text, 1+32<<10/len(text)))
+	total := int64(0)
+	for total < endlessBytes {
+		n, err := conn.Write(chunk)
+		total += int64(n)
+		if err != nil {
+			return total
+		}
+	}
+	return total
+}
+
+// TestHeadWithoutEnd guards against a response head without end that fills the memory of
+// the node until the request's deadline.
+func TestHeadWithoutEnd(t *testing.T) {
+	for _, tc := range []struct{ name, start, repeated string }{
+		{"status line", "HTTP/1.1 200 ", "O"},
+		{"one header line", "HTTP/1.1 200 OK\r\nA: ", "a"},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "A: a\r\n"},
+		{"interim responses", "", "HTTP/1.1 103 Early\r\nA: a\r\n\r\n"},
+		{"bytes that are no response", "", "\x00"},
+		{"trailers", "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: a\r\n"},
+		{"chunk extension", "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n1;", "a"},
+	} {
+		for _, call := range []struct {
+			name string
+			do   func(c *Client) error
+		}{
+			{"request", func(c *Client) error { _, err := c.Do(context.Background(), request("r1")); return err }},
+			{"health check", func(c *Client) error {
+				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+				defer cancel()
+				return c.Check(ctx, "/health")
+			}},
+		} {
+			t.Run(tc.name+", "+call.name, func(t *testing.T) {
+				written := make(chan int64, 1)
+				client, _ := newScriptedServer(t, func(c net.Conn, _ *http.Request, _ int) {
+					fmt.Fprint(c, tc.start)
+					written <- writeWithoutEnd(c, tc.repeated)
+					_ = c.Close()
+				})
+				start := time.Now()
+				err := call.do(client)
+				if n := <-written; n >= endlessBytes {
+					t.Errorf("the client read on until %d bytes were written, for %v; error: %.100v", n, time.Since(start), err)
+				}
+			})
+		}
+	}
+}
+
+// TestBodiesWithoutEnd guards against a server whose bodies without end, one on each
+// slot, take more memory than the VM has.
+func TestBodiesWithoutEnd(t *testing.T) {
+	const (
+		slots = 18
+		// heapBytes is the part of the smallest VM's 184 MB that the runtime may use.
+		heapBytes = 100 << 20
+	)
+	client, _ := newScriptedServer(t, func(c net.Conn, r *http.Request, _ int) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nConnection: close\r\n\r\n", r.Header.Get("Id"))
+		writeWithoutEnd(c, "body")
+		_ = c.Close()
+	})
+	var done atomic.Bool
+	peak := make(chan uint64, 1)
+	go func() {
+		most := uint64(0)
+		for !done.Load() {
+			runtime.GC()
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			most = max(most, m.HeapAlloc)
+		}
+		peak <- most
+	}()
+	var callers sync.WaitGroup
+	for i := range slots {
+		callers.Go(func() {
+			if _, err := client.Do(context.Background(), request(fmt.Sprint("r", i))); !ErrUnknownOutcome.Has(err) {
+				t.Errorf("got error %v", err)
+			}
+		})
+	}
+	callers.Wait()
+	done.Store(true)
+	if most := <-peak; most > heapBytes {
+		t.Errorf("%d MB of heap in use, allowed %d", most>>20, heapBytes>>20)
+	}
+}
