A backend server's named limit bounds the requests that its gate sends

Cause: the limit was passed on to callers like any header, and nothing acted on it. A gate admitted as many requests as there are slots, and the leader saw the capacity of the slots and gave limited servers more keys.

Change: admission paces the slots by the limit, orders and refuses with it in the predicted wait, and refuses at once what it cannot start in time. The status of a node carries the limit, and the leader counts it as capacity, so that load moves off. Responses and requests between nodes carry what the server has stated: a node that restarts learns the limit from the nodes that were told, before its server has answered. The limit ends with the first answer without it to a request sent after it was last named. Slots added by a report start waiting requests.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -24,6 +24,9 @@
 	mu        sync.Mutex
 	scheduler *Scheduler
 	waiters   map[*Request]chan bool
+	// paceTimer starts the next waiting request once the server's rate allows it;
+	// nil until the first one has to wait for it.
+	paceTimer *time.Timer
 }
 
 // NewQueue returns a queue with the given number of slots.
@@ -36,6 +39,70 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.scheduler.SetSlots(n)
+	q.startWaiting(time.Now())
+}
+
+// SetRate limits the rate at which requests are given slots, in requests per second.
+// Waiting requests that cannot be given one in time any more are refused.
+func (q *Queue) SetRate(perSecond float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	q.refuse(q.scheduler.SetRate(now, perSecond))
+	q.startWaiting(now)
+}
+
+// ClearRate ends the limit of SetRate.
+func (q *Queue) ClearRate() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.scheduler.ClearRate()
+	q.startWaiting(time.Now())
+}
+
+// RateWait returns how long another request would wait for the rate alone.
+func (q *Queue) RateWait() time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.scheduler.RateWait(time.Now())
+}
+
+func (q *Queue) advance() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.startWaiting(time.Now())
+}
+
+// startWaiting gives the free slots to waiting requests, as far as the server's rate
+// allows, and sets the timer for the next one that has to wait for it.
+func (q *Queue) startWaiting(now time.Time) {
+	for {
+		next, refused := q.scheduler.StartNext(now)
+		q.refuse(refused)
+		if next == nil {
+			break
+		}
+		q.notify(next, true)
+	}
+	q.awaitRate(now)
+}
+
+// awaitRate sets the timer if a waiting request needs nothing but the server's rate.
+func (q *Queue) awaitRate(now time.Time) {
+	at, waiting := q.scheduler.NextStart(now)
+	switch {
+	case !waiting:
+	case q.paceTimer == nil:
+		q.paceTimer = time.AfterFunc(at.Sub(now), q.advance)
+	default:
+		q.paceTimer.Reset(at.Sub(now))
+	}
+}
+
+func (q *Queue) refuse(refused []*Request) {
+	for _, r := range refused {
+		q.notify(r, false)
+	}
 }
 
 // Counts returns the number of running and waiting requests.
@@ -59,7 +126,7 @@
 	now := time.Now()
 	admitted, refused := q.scheduler.Offer(now, r)
 	if admitted || refused {
-		retryAfter := q.scheduler.BacklogTime()
+		retryAfter := q.scheduler.BacklogTime(now)
 		q.mu.Unlock()
 		if refused {
 			return Overloaded, retryAfter
@@ -68,6 +135,7 @@
 	}
 	ch := make(chan bool, 1)
 	q.waiters[r] = ch
+	q.awaitRate(now)
 	latestStart, nextCheck := q.scheduler.LatestStart(r), q.scheduler.LateAt(r)
 	q.mu.Unlock()
 	timer := time.NewTimer(0)
@@ -113,7 +181,7 @@
 	q.mu.Lock()
 	removed := q.scheduler.Remove(r)
 	delete(q.waiters, r)
-	retryAfter := q.scheduler.BacklogTime()
+	retryAfter := q.scheduler.BacklogTime(time.Now())
 	q.mu.Unlock()
 	if !removed && <-ch {
 		return 0, 0
@@ -126,13 +194,13 @@
 func (q *Queue) Release(r *Request, serviceTime time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	next, refused := q.scheduler.Done(time.Now(), r, serviceTime)
-	for _, waiter := range refused {
-		q.notify(waiter, false)
-	}
+	now := time.Now()
+	next, refused := q.scheduler.Done(now, r, serviceTime)
+	q.refuse(refused)
 	if next != nil {
 		q.notify(next, true)
 	}
+	q.awaitRate(now)
 }
 
 func (q *Queue) notify(r *Request, admitted bool) {
--- a/internal/admission/scheduler.go
+++ b/internal/admission/scheduler.go
@@ -62,6 +62,7 @@
 	// before.
 	windowStart                time.Time
 	lateStarts, prevLateStarts int
+	pace                       pace
 }
 
 // NewScheduler returns a scheduler with the given number of slots.
@@ -101,7 +102,7 @@
 func (s *Scheduler) Offer(now time.Time, r *Request) (admitted, refused bool) {
 	s.seq++
 	r.seq = s.seq
-	if s.running < s.slots && len(s.waiting) == 0 && now.Before(s.LatestStart(r)) {
+	if s.mayStart(now) && len(s.waiting) == 0 && now.Before(s.LatestStart(r)) {
 		s.start(now, r)
 		return true, false
 	}
@@ -116,9 +117,15 @@
 	return false, false
 }
 
+// mayStart reports whether a request may be given a slot now.
+func (s *Scheduler) mayStart(now time.Time) bool {
+	return s.running < s.slots && s.pace.wait(now, 0) == 0
+}
+
 // start gives a slot to a request.
 func (s *Scheduler) start(now time.Time, r *Request) {
 	s.running++
+	s.pace.started(now)
 	r.admitted = true
 	s.rotateWindow(now)
 	if s.late(now, r) {
@@ -148,6 +155,9 @@
 // is predicted to get a slot soon enough at the recent rate of slots given to
 // late requests.
 func (s *Scheduler) WorthWaiting(now time.Time, r *Request) bool {
+	if s.startsTooLate(now, r) {
+		return false
+	}
 	s.rotateWindow(now)
 	ahead := 1
 	for _, w := range s.waiting {
@@ -170,25 +180,26 @@
 }
 
 // PredictedWait returns how long a request is expected to wait for a slot,
-// given the requests that are scheduled before it.
+// given the requests that are scheduled before it and the server's rate.
 func (s *Scheduler) PredictedWait(now time.Time, r *Request) time.Duration {
-	total := float64(s.running-s.slots+1) * float64(s.ServiceTime(r.Class)) / 2
+	total, ahead := float64(s.running-s.slots+1)*float64(s.ServiceTime(r.Class))/2, 0
 	for _, w := range s.waiting {
 		if s.before(now, w, r) {
 			total += float64(s.ServiceTime(w.Class))
+			ahead++
 		}
 	}
-	return time.Duration(max(0, total) / float64(s.slots))
+	return max(time.Duration(max(0, total)/float64(s.slots)), s.pace.wait(now, ahead))
 }
 
-// BacklogTime returns how long the slots are expected to take to serve all
-// waiting requests.
-func (s *Scheduler) BacklogTime() time.Duration {
+// BacklogTime returns how long it is expected to take until all waiting requests
+// have been given a slot.
+func (s *Scheduler) BacklogTime(now time.Time) time.Duration {
 	total := 0.0
 	for _, w := range s.waiting {
 		total += float64(s.ServiceTime(w.Class))
 	}
-	return time.Duration(total / float64(s.slots))
+	return max(time.Duration(total/float64(s.slots)), s.pace.wait(now, len(s.waiting)))
 }
 
 // before reports whether a gets a slot before b. Requests are ordered by
@@ -226,7 +237,7 @@
 		s.recordServiceTime(r.Class, float64(serviceTime))
 	}
 	s.running--
-	return s.startNext(now)
+	return s.StartNext(now)
 }
 
 func (s *Scheduler) recordServiceTime(class string, serviceTime float64) {
@@ -242,10 +253,10 @@
 	s.meanServiceTime += serviceTimeWeight * (serviceTime - s.meanServiceTime)
 }
 
-// startNext gives a free slot to the first waiting request that can still use
+// StartNext gives a free slot to the first waiting request that can still use
 // it, and refuses those before it.
-func (s *Scheduler) startNext(now time.Time) (next *Request, refused []*Request) {
-	for s.running < s.slots && len(s.waiting) > 0 {
+func (s *Scheduler) StartNext(now time.Time) (next *Request, refused []*Request) {
+	for s.mayStart(now) && len(s.waiting) > 0 {
 		first := 0
 		for i := range s.waiting {
 			if s.before(now, s.waiting[i], s.waiting[first]) {
--- a/internal/admission/scheduler_test.go
+++ b/internal/admission/scheduler_test.go
@@ -198,11 +198,11 @@
 func TestBacklogTimeGrows(t *testing.T) {
 	now := time.Unix(1000, 0)
 	sched := NewScheduler(1)
-	before := sched.BacklogTime()
+	before := sched.BacklogTime(now)
 	for range 3 {
 		sched.Offer(now, &Request{Class: "view", Target: now.Add(time.Second), Deadline: now.Add(2 * time.Second)})
 	}
-	if after := sched.BacklogTime(); after <= before {
+	if after := sched.BacklogTime(now); after <= before {
 		t.Errorf("backlog time %v with waiting requests, %v without", after, before)
 	}
 }
--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -108,6 +108,7 @@
 	loads         []*wire.SpanLoad
 	// meanServiceMs is the moving average of the service time.
 	meanServiceMs float64
+	limit         serverLimit
 }
 
 func newLocalServer(earlierGrantsUntil clock.Mono) localServer {
@@ -147,6 +148,9 @@
 	if l.server.StartedMs != 0 && l.server.Instance != r.Instance {
 		m.giveUpRows("the backend server has restarted")
 	}
+	if l.server.Instance != r.Instance {
+		l.limit = serverLimit{}
+	}
 	if !l.alive || l.server != server {
 		m.note("backend server", "id", r.ID, "born", r.StartedMs, "service", r.Service,
 			"ready", r.Ready, "slots", r.Slots, "seq", r.Seq)
@@ -394,11 +398,7 @@
 	if !m.local.alive || m.local.server.ID != id {
 		return false
 	}
-	if m.local.server.Ready {
-		m.local.server.Ready = false
-		m.note("backend server is leaving", "id", id)
-		m.sendStatusNow()
-	}
+	m.serverLeaves()
 	return true
 }
 
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -62,9 +62,13 @@
 const defaultServiceMs = 100.0
 
 // capacity returns how many requests per second a member's backend server can
-// serve. One that has not served any requests yet counts with the mean service
-// time of the others.
-func (p *planner) capacity(m *Member) float64 {
+// serve, at most the limit that it names.
+func (p *planner) capacity(m *Member) float64 { return p.limitOf(m).cap(p.slotCapacity(m)) }
+
+// slotCapacity returns how many requests per second a member's backend server can
+// serve with its slots. One that has not served any requests yet counts with the
+// mean service time of the others.
+func (p *planner) slotCapacity(m *Member) float64 {
 	slots := float64(max(1, m.Server.Slots))
 	if s := p.machine.leadership.statuses[m.Name]; s != nil && s.GetWorkMs() > 0 {
 		return slots * 1000 / s.GetWorkMs()
--- /dev/null
+++ b/internal/fleet/stated.go
@@ -0,0 +1,68 @@
+package fleet
+
+// ServerStated reports what the backend server has stated about itself in its
+// responses.
+type ServerStated struct {
+	Instance Instance
+	// Limited is true if the server names a limit: it takes Limit requests per
+	// second from all nodes together.
+	Limited bool
+	Limit   float64
+	// Leaving is true once the server has stated that it leaves.
+	Leaving bool
+}
+
+func (ServerStated) event() {}
+
+// serverLimit is the limit that a backend server names. The zero value is none.
+type serverLimit struct {
+	named     bool
+	perSecond float64
+}
+
+// minLimitedCapacity is the least capacity in requests per second of a server that
+// names a limit; utilizations are relative to it.
+const minLimitedCapacity = 1.0
+
+// cap returns a capacity in requests per second, bounded by the limit.
+func (l serverLimit) cap(capacity float64) float64 {
+	if !l.named {
+		return capacity
+	}
+	return min(capacity, max(l.perSecond, minLimitedCapacity))
+}
+
+// limitOf returns the limit in a member's last status, if that is of the server
+// instance that the document lists.
+func (p *planner) limitOf(m *Member) serverLimit {
+	s := p.machine.leadership.statuses[m.Name]
+	if s == nil || s.GetServer().GetId() != m.Server.ID || s.GetServer().GetBornMs() != m.Server.StartedMs {
+		return serverLimit{}
+	}
+	return serverLimit{s.GetLimited(), s.GetLimit()}
+}
+
+// serverLeaves records that the server is leaving.
+func (m *Machine) serverLeaves() {
+	if m.local.server.Ready {
+		m.local.server.Ready = false
+		m.note("backend server is leaving", "id", m.local.server.ID)
+		m.sendStatusNow()
+	}
+}
+
+// handleServerStated records what the server has stated in its responses. The leader
+// learns a new limit with the next status, and moves load off the server.
+func (m *Machine) handleServerStated(e ServerStated) {
+	l := &m.local
+	if !l.alive || l.server.Instance != e.Instance {
+		return
+	}
+	if e.Leaving {
+		m.serverLeaves()
+	}
+	if limit := (serverLimit{e.Limited, e.Limit}); l.limit != limit {
+		l.limit = limit
+		m.sendStatusNow()
+	}
+}
--- a/internal/fleet/validate.go
+++ b/internal/fleet/validate.go
@@ -17,6 +17,9 @@
 	if !isAmount(s.GetWeight()) || !isAmount(s.GetWorkMs()) {
 		return ErrMalformed.New("weight %v or service time %v is not an amount", s.GetWeight(), s.GetWorkMs())
 	}
+	if !isAmount(s.GetLimit()) {
+		return ErrMalformed.New("limit %v is not an amount", s.GetLimit())
+	}
 	for _, l := range s.GetLoads() {
 		if !isKeyRange(l.GetFrom(), l.GetTo()) || !isAmount(l.GetRate()) {
 			return ErrMalformed.New("load %v of keys %d to %d", l.GetRate(), l.GetFrom(), l.GetTo())
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -117,39 +117,9 @@
 // SetDrainPeriod changes how long a leaving server may be sent requests.
 func (g *Gate) SetDrainPeriod(d time.Duration) { g.drainPeriod.Store(int64(d)) }
 
-// SetServer replaces the server; nil means that there is none.
-func (g *Gate) SetServer(s *fleet.Server) {
-	old := g.server.Load()
-	if s == nil {
-		g.server.Store(nil)
-		g.wake()
-		return
-	}
-	updated := &Server{Server: *s}
-	if !s.Ready {
-		updated.leavingSince = time.Now()
-		if old != nil && !old.Ready && old.Instance == s.Instance {
-			updated.leavingSince = old.leavingSince
-		}
-	}
-	g.queue.SetSlots(s.Slots)
-	g.server.Store(updated)
-	g.wake()
-}
-
 // Server returns the server as it last reported; nil if there is none.
 func (g *Gate) Server() *Server { return g.server.Load() }
 
-// MarkLeaving marks the server as leaving, for a server that leaves without
-// reporting it.
-func (g *Gate) MarkLeaving() {
-	if s := g.server.Load(); s != nil {
-		leaving := s.Server
-		leaving.Ready = false
-		g.SetServer(&leaving)
-	}
-}
-
 // SetHeld sets the rows that the server holds.
 func (g *Gate) SetHeld(h *fleet.Held) {
 	g.held.Store(h)
@@ -201,13 +171,15 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(responseGrace))
 	defer cancel()
+	g.adoptNotice(h.GetNotice())
 	r := &request{gate: g, head: h, body: body, receivedAt: receivedAt, deadline: deadline, key: parseKey(h)}
 	out, respBody := r.run(ctx)
 	g.setIDAndLoad(h, out)
 	return out, respBody
 }
 
-// setIDAndLoad sets the request ID and the gate's current load in a response.
+// setIDAndLoad sets the request ID, the gate's current load and what the server has
+// stated in a response.
 func (g *Gate) setIDAndLoad(h *wire.RequestHead, out *wire.ResponseHead) {
 	out.Id = h.GetId()
 	running, waiting := g.queue.Counts()
@@ -215,6 +187,9 @@
 	if s := g.server.Load(); s != nil {
 		out.Slots = uint32(s.Slots)
 	}
+	if out.Notice = g.notice(); out.GetNotice().GetLimited() {
+		out.LimitWaitMs = uint32(g.queue.RateWait().Milliseconds())
+	}
 	if h.GetBulk() {
 		out.LinkWaitMs = uint32(g.link.predictedWait(time.Now()).Milliseconds())
 	}
@@ -272,6 +247,9 @@
 		reason, retryAfter := r.gate.queue.Acquire(ctx, queued)
 		switch reason {
 		case admission.Overloaded:
+			if r.gate.Limit() > 0 {
+				limitRefusals.Inc()
+			}
 			return refuse(result.BackendBusy, retryAfter), nil
 		case admission.Cancelled:
 			return refuse(result.CancelledBefore, 0), nil
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -8,19 +8,75 @@
 
 	"fulmarhinge/internal/fleet"
 	"fulmarhinge/internal/upstream"
+	"fulmarhinge/internal/wire"
 )
 
-var requestsSent = metrics.NewCounter("fulmarhinge_backend_requests_sent_total")
+var (
+	requestsSent  = metrics.NewCounter("fulmarhinge_backend_requests_sent_total")
+	limitRefusals = metrics.NewCounter("fulmarhinge_backend_limit_refusals_total")
+)
 
-// notices holds what the server has stated about itself in its responses.
+// notices holds what the current instance of the server has stated about itself.
 type notices struct {
 	mu       sync.Mutex
 	instance fleet.Instance
+	// answered is true once the instance has answered a request of this process.
+	answered bool
 	limited  bool
 	limit    float64
 	// namedAt is when the last response that named the limit was received.
 	namedAt time.Time
-	leaving bool
+	// leavingSince is when the server first stated that it leaves, zero if it has
+	// not. A server that leaves does not come back.
+	leavingSince time.Time
+}
+
+// SetServer replaces the server; nil means that there is none.
+func (g *Gate) SetServer(s *fleet.Server) {
+	g.notices.mu.Lock()
+	g.setServer(s)
+	g.notices.mu.Unlock()
+	g.wake()
+}
+
+// setServer replaces the server. The caller holds the lock of the notices.
+func (g *Gate) setServer(s *fleet.Server) {
+	if s == nil {
+		g.server.Store(nil)
+		return
+	}
+	n := &g.notices
+	if n.instance != s.Instance {
+		n.instance, n.answered, n.leavingSince = s.Instance, false, time.Time{}
+		g.setLimit(false, 0)
+	}
+	if !s.Ready && n.leavingSince.IsZero() {
+		n.leavingSince = time.Now()
+	}
+	updated := &Server{Server: *s, leavingSince: n.leavingSince}
+	updated.Ready = n.leavingSince.IsZero()
+	g.queue.SetSlots(s.Slots)
+	g.server.Store(updated)
+}
+
+// MarkLeaving marks the server as leaving, for a server that leaves without
+// reporting it.
+func (g *Gate) MarkLeaving() {
+	g.notices.mu.Lock()
+	g.markLeaving(time.Now())
+	g.notices.mu.Unlock()
+	g.wake()
+}
+
+// markLeaving marks the server as leaving since the given time. The caller holds the
+// lock of the notices.
+func (g *Gate) markLeaving(since time.Time) {
+	s := g.server.Load()
+	if s == nil || s.Instance != g.notices.instance {
+		return
+	}
+	g.notices.leavingSince = since
+	g.setServer(&s.Server)
 }
 
 // recordNotice records the notice in the response to a request that was sent to the
@@ -29,21 +85,16 @@
 	if resp.NoticeErr != nil {
 		g.log.Warn("notice of the backend server ignored", "server", instance.ID, "error", resp.NoticeErr)
 	}
-	if resp.Notice == nil {
+	n := &g.notices
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if resp.Notice == nil || n.instance != instance {
 		return
 	}
-	g.notices.mu.Lock()
-	defer g.notices.mu.Unlock()
-	if g.notices.instance != instance {
-		g.notices.instance, g.notices.limited, g.notices.limit, g.notices.leaving = instance, false, 0, false
-	}
+	n.answered = true
 	if resp.NoticeErr == nil {
 		g.recordLimit(sentAt, resp.Notice)
 	}
-	if resp.Notice.Leaving && !g.notices.leaving {
-		g.notices.leaving = true
-		g.log.Info("backend server states in its answers that it leaves", "server", instance.ID, "born", instance.StartedMs)
-	}
 }
 
 // recordLimit records whether the server names a limit. Responses may be received in
@@ -65,7 +116,59 @@
 	} else {
 		g.log.Info("backend server names no limit any more", "server", n.instance.ID, "before", n.limit)
 	}
-	n.limited, n.limit = stated.Limited, stated.Limit
+	g.setLimit(stated.Limited, stated.Limit)
+}
+
+// setLimit sets the limit and the rate at which requests get slots.
+func (g *Gate) setLimit(limited bool, limit float64) {
+	g.notices.limited, g.notices.limit = limited, limit
+	if limited {
+		g.queue.SetRate(limit)
+	} else {
+		g.queue.ClearRate()
+	}
+}
+
+// adoptNotice takes over what a peer was told by the server while an earlier process of
+// this node ran. A limit counts only until the server has answered this process.
+func (g *Gate) adoptNotice(told *wire.ServerNotice) {
+	if told == nil {
+		return
+	}
+	n := &g.notices
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.instance.ID != told.GetId() || n.instance.StartedMs != told.GetBornMs() {
+		return
+	}
+	if told.GetLimited() && !n.answered && !n.limited {
+		g.log.Info("limit of the backend server adopted from a peer", "server", n.instance.ID, "per_second", told.GetLimit())
+		g.setLimit(true, told.GetLimit())
+	}
+}
+
+// notice returns what the server has stated, nil if nothing.
+func (g *Gate) notice() *wire.ServerNotice {
+	n := &g.notices
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.limited && n.leavingSince.IsZero() {
+		return nil
+	}
+	out := &wire.ServerNotice{Id: n.instance.ID, BornMs: n.instance.StartedMs, Limited: n.limited, Limit: n.limit}
+	if !n.leavingSince.IsZero() {
+		out.Leaving, out.LeavingMs = true, time.Since(n.leavingSince).Milliseconds()
+	}
+	return out
+}
+
+// Stated returns what the server has stated about itself in its responses.
+func (g *Gate) Stated() fleet.ServerStated {
+	g.notices.mu.Lock()
+	defer g.notices.mu.Unlock()
+	return fleet.ServerStated{
+		Instance: g.notices.instance, Limited: g.notices.limited, Limit: g.notices.limit, Leaving: !g.notices.leavingSince.IsZero(),
+	}
 }
 
 // Limit returns the limit that the server names, in requests per second; 0 if it names
--- a/internal/gate/notice_test.go
+++ b/internal/gate/notice_test.go
@@ -93,3 +93,42 @@
 		t.Errorf("%d requests reached the server after its drain period", late)
 	}
 }
+
+// TestLimitFollowsAnswers has a server name a limit, a malformed one, none, and a limit in
+// a 421, which may be that of another server.
+func TestLimitFollowsAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name, named string
+		status      int
+		want        float64
+	}{
+		{"limit", "7.5", http.StatusOK, 7.5},
+		{"malformed", "many", http.StatusOK, 7.5},
+		{"in a 421", "3", http.StatusMisdirectedRequest, 7.5},
+		{"another limit", "9", http.StatusOK, 9},
+		{"in a failure", "8", http.StatusInternalServerError, 8},
+		{"none", "", http.StatusOK, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			named, status := "7.5", http.StatusOK
+			b := &backend{respond: func(w http.ResponseWriter, _ *http.Request, _ int64) {
+				if named != "" {
+					w.Header().Set("Limit", named)
+				}
+				w.WriteHeader(status)
+			}}
+			g := newGate(t, b, always(true))
+			g.Do(t.Context(), head(""), nil)
+			named, status = tc.named, tc.status
+			out, _ := g.Do(t.Context(), head(""), nil)
+			if got := g.Limit(); got != tc.want || out.GetNotice().GetLimit() != tc.want {
+				t.Errorf("limit %v, in the response %v; expected %v", got, out.GetNotice().GetLimit(), tc.want)
+			}
+			next := testServer(true)
+			next.StartedMs++
+			if g.SetServer(next); g.Limit() != 0 {
+				t.Errorf("the next instance has the limit %v", g.Limit())
+			}
+		})
+	}
+}
--- a/internal/ingress/outcomes.go
+++ b/internal/ingress/outcomes.go
@@ -137,6 +137,9 @@
 	if h.GetSlots() > 0 {
 		args = append(args, "running", h.GetInFlight(), "waiting", h.GetWaiting(), "slots", h.GetSlots())
 	}
+	if n := h.GetNotice(); n != nil {
+		args = append(args, "limited", n.GetLimited(), "limit", n.GetLimit(), "limit_wait_ms", h.GetLimitWaitMs(), "leaving", n.GetLeaving())
+	}
 	if h.GetRetryAfterMs() > 0 {
 		args = append(args, "retry_after_ms", h.GetRetryAfterMs())
 	}
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -242,12 +242,13 @@
 	return true
 }
 
+// candidates returns the members whose servers may be sent a request without a key.
 func (q *request) candidates() []*fleet.Member {
 	v := q.server.view.Load()
 	if v == nil {
 		return nil
 	}
-	return v.readyMembers[q.service]
+	return q.server.told.withoutLeaving(v.readyMembers[q.service])
 }
 
 // attempt makes one attempt to send the request to a node.
@@ -265,7 +266,7 @@
 		}
 		return q.send(ctx, m)
 	}
-	m := s.picker.pick(time.Now(), v.readyMembers[q.service], q.triedMembers, q.route.Bulk)
+	m := s.picker.pick(time.Now(), q.candidates(), q.triedMembers, q.route.Bulk)
 	if m == nil {
 		return refusal(result.BackendNotReady, 0), nil
 	}
@@ -299,11 +300,17 @@
 		DeadlineMs: uint64(max(1, q.deadline.Sub(now).Milliseconds())), ContentLength: int64(len(q.body)),
 		Priority: uint32(q.route.Priority), TargetMs: q.received.Add(q.route.TargetLatency - q.age).Sub(now).Milliseconds(),
 		Idempotent: q.route.Idempotent, Bulk: q.route.Bulk, SentUs: int64(clock.Now()) / int64(time.Microsecond),
+		Notice: q.server.told.wire(now, m),
 	}
+	var h *wire.ResponseHead
+	var body []byte
 	if m.Name == q.server.cfg.Self.Name {
-		return q.server.cfg.Gate.Do(ctx, head, q.body)
+		h, body = q.server.cfg.Gate.Do(ctx, head, q.body)
+	} else {
+		h, body = q.sendRemote(ctx, m, head)
 	}
-	return q.sendRemote(ctx, m, head)
+	q.server.told.record(time.Now(), m.Name, h)
+	return h, body
 }
 
 // sendRemote sends the request to the gate of another node.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -46,6 +46,7 @@
 	lastSample time.Time
 	lastReport time.Time
 	lastProbe  time.Time
+	lastStated fleet.ServerStated
 	handovers  handoverTimer
 	// platformLost is true while reads and writes of the fleet document fail.
 	platformLost bool
@@ -209,6 +210,10 @@
 		l.node.machine.Step(clock.Now(), fleet.LoadSampled{Spans: spans, MeanServiceTime: meanWork})
 		l.node.ingress.Flush()
 	}
+	if stated := l.node.gate.Stated(); stated != l.lastStated || stated.Limited || stated.Leaving {
+		l.lastStated = stated
+		l.node.machine.Step(clock.Now(), stated)
+	}
 	l.probeBackend(now)
 	l.node.machine.Step(clock.Now(), fleet.Tick{})
 }
