A backend server that states in its answers that it leaves gets no request after its drain period

Callers saw nothing yet; the rule is new. A server that said so in its answers alone kept its keys and got requests for as long as it ran: 25 requests after the drain period in TestLeavingStatedInAnswers.

Cause: the same as of the limit: a statement in answers was passed on and nothing acted on it. Only reports and the deregistration counted, and a restarted node forgot it when the leader could not write it into the document.

Change: the gate marks the server as leaving from the first such answer, as a report would, and the control goroutine hands its keys over. The mark travels with requests and responses between nodes like the limit, with its age, so a restarted gate counts from when it was first stated; entries choose other servers at once.

--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -95,6 +95,10 @@
 	if resp.NoticeErr == nil {
 		g.recordLimit(sentAt, resp.Notice)
 	}
+	if resp.Notice.Leaving && n.leavingSince.IsZero() {
+		g.log.Info("backend server states in its answers that it leaves", "server", instance.ID, "born", instance.StartedMs)
+		g.markLeaving(time.Now())
+	}
 }
 
 // recordLimit records whether the server names a limit. Responses may be received in
@@ -145,6 +149,11 @@
 		g.log.Info("limit of the backend server adopted from a peer", "server", n.instance.ID, "per_second", told.GetLimit())
 		g.setLimit(true, told.GetLimit())
 	}
+	if told.GetLeaving() && n.leavingSince.IsZero() {
+		age := time.Duration(told.GetLeavingMs()) * time.Millisecond
+		g.log.Info("leaving of the backend server adopted from a peer", "server", n.instance.ID, "age_ms", age.Milliseconds())
+		g.markLeaving(time.Now().Add(-age))
+	}
 }
 
 // notice returns what the server has stated, nil if nothing.
