Bytes without end from a backend server end with its connection

Callers would have seen the node run out of memory: a head was read for as long as its bytes came, up to the request's deadline, and 18 bodies without end took 254 MB where the smallest VM has 184. A body that was given up was read on to the deadline, with its slot, because closing it reads the rest. An error quoted all that it had read, in the log and to the entry.

Cause: http.ReadResponse bounds no head, and each body had its own bound, but not all together.

Change: 64 KB for a head, interim responses included, also of a health check; bodies above 1 MB share 16 MB and wait for it; what is given up ends with its connection; errors quote at most 200 bytes.

TestConnectionEndsAfterBodyWithoutEnd fails on a scratch copy of the commit before (64 MB read). TestLargeBodies passes on both.

--- a/internal/upstream/check.go
+++ b/internal/upstream/check.go
@@ -1,9 +1,6 @@
 package upstream
 
-import (
-	"context"
-	"net/http"
-)
+import "context"
 
 // Check sends a health check on a new connection and returns nil once the server has
 // answered it, whatever its status: it reads and answers.
@@ -21,9 +18,8 @@
 	if _, err := cn.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + c.pool.address + "\r\nConnection: close\r\n\r\n")); err != nil {
 		return ErrUnknownOutcome.Wrap(err)
 	}
-	resp, err := http.ReadResponse(cn.br, nil)
-	if err != nil {
+	if _, err := cn.readHead(nil); err != nil {
 		return ErrUnknownOutcome.Wrap(err)
 	}
-	return resp.Body.Close()
+	return nil
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -11,6 +10,7 @@
 	"time"
 
 	"github.com/zeebo/errs"
+	"golang.org/x/sync/semaphore"
 )
 
 // Error classes of Client.Do.
@@ -22,10 +22,6 @@
 	ErrUnknownOutcome = errs.Class("broken answer")
 )
 
-// maxResponseBytes bounds the body of a response, which is buffered whole
-// before it is forwarded.
-const maxResponseBytes = 16 << 20
-
 // Headers holds the header names that the backend server uses.
 type Headers struct {
 	RequestID string
@@ -80,11 +76,13 @@
 type Client struct {
 	headers Headers
 	pool    *pool
+	// largeBodies is the memory for bodies above freeBodyBytes that are being read.
+	largeBodies *semaphore.Weighted
 }
 
 // NewClient returns a client for the server at address, an IP:port.
 func NewClient(address string, headers Headers) *Client {
-	return &Client{headers: headers, pool: &pool{address: address}}
+	return &Client{headers: headers, pool: &pool{address: address}, largeBodies: semaphore.NewWeighted(maxResponseBytes)}
 }
 
 // Close closes the idle connections. Calls in progress are not affected.
@@ -129,7 +127,7 @@
 	if err != nil {
 		return nil, false, ErrUnknownOutcome.Wrap(err)
 	}
-	return c.receive(cn, r)
+	return c.receive(ctx, cn, r)
 }
 
 // encode appends the request in its wire format.
@@ -165,24 +163,16 @@
 	errOtherRequest = errors.New("the answer belongs to another request")
 	errEncoded      = errors.New("the answer is encoded")
 	errNoProof      = errors.New("the answer lacks the server's proof")
-	errTooLarge     = errors.New("the answer is too large")
 )
 
 // receive reads a response and checks that it is complete and belongs to the
 // request.
-func (c *Client) receive(cn *conn, r *Request) (*Response, bool, error) {
-	req := &http.Request{Method: r.Method}
-	var resp *http.Response
-	for {
-		var err error
-		if resp, err = http.ReadResponse(cn.br, req); err != nil {
-			return nil, false, ErrUnknownOutcome.Wrap(err)
-		}
-		if resp.StatusCode >= http.StatusOK {
-			break
-		}
+func (c *Client) receive(ctx context.Context, cn *conn, r *Request) (*Response, bool, error) {
+	resp, err := cn.readHead(&http.Request{Method: r.Method})
+	if err != nil {
+		return nil, false, ErrUnknownOutcome.Wrap(err)
 	}
-	body, err := readBody(resp)
+	body, err := c.readBody(ctx, resp)
 	if err != nil {
 		return nil, false, ErrUnknownOutcome.Wrap(err)
 	}
@@ -209,23 +199,6 @@
 	return out, reusable, nil
 }
 
-func readBody(resp *http.Response) ([]byte, error) {
-	defer resp.Body.Close()
-	if resp.ContentLength > maxResponseBytes {
-		return nil, errTooLarge
-	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errTooLarge
-	}
-	return body, err
-}
-
 // IsConnectionRefused reports whether err means that nothing listens at the
 // address.
 func IsConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -31,11 +31,37 @@
 	// states.
 	keepAliveMargin = time.Second
 	readBufferBytes = 16 << 10
+	// maxHeadBytes bounds the head of a response, interim responses included.
+	maxHeadBytes = 64 << 10
 )
 
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
+// headLimiter bounds the bytes that are read from a connection while the head of a
+// response is read.
+type headLimiter struct {
+	conn    net.Conn
+	limited bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.conn.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // conn is a connection to the backend server.
 type conn struct {
 	net.Conn
+	in *headLimiter
 	br *bufio.Reader
 	// A connection that has been idle since idleSince for longer than idleLimit
 	// is not used again.
@@ -78,7 +104,36 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	in := &headLimiter{conn: raw}
+	return &conn{Conn: raw, in: in, br: bufio.NewReaderSize(in, readBufferBytes)}, nil
+}
+
+// readHead reads the head of the next final response, at most maxHeadBytes. The body
+// of the response must not be closed, as that would read the rest of it: closing the
+// connection ends it.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.in.limited, c.in.left = true, maxHeadBytes
+	defer func() { c.in.limited = false }()
+	for {
+		resp, err := http.ReadResponse(c.br, req)
+		if err != nil {
+			return nil, shorten(err)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// maxErrorBytes bounds the text of an error that quotes what a server sent.
+const maxErrorBytes = 200
+
+// shorten returns the error, without its end if its text is long.
+func shorten(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.New(text[:maxErrorBytes] + " and so on")
+	}
+	return err
 }
 
 func (p *pool) pop() *conn {
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -111,3 +111,47 @@
 		t.Errorf("%d MB of heap in use, allowed %d", most>>20, heapBytes>>20)
 	}
 }
+
+// TestConnectionEndsAfterBodyWithoutEnd guards against a client that reads on, and keeps
+// its slot, after it has given a body up.
+func TestConnectionEndsAfterBodyWithoutEnd(t *testing.T) {
+	for _, head := range []string{"", "Transfer-Encoding: chunked\r\n", "Content-Length: 1000000000000\r\n"} {
+		written := make(chan int64, 1)
+		client, _ := newScriptedServer(t, func(c net.Conn, r *http.Request, _ int) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\n%s\r\n", r.Header.Get("Id"), head)
+			written <- writeWithoutEnd(c, "4\r\nbody\r\n")
+			_ = c.Close()
+		})
+		if _, err := client.Do(context.Background(), request("r1")); !ErrUnknownOutcome.Has(err) {
+			t.Errorf("%q: got error %v", head, err)
+		}
+		if n := <-written; n >= endlessBytes {
+			t.Errorf("%q: the client read on until %d bytes were written", head, n)
+		}
+	}
+}
+
+// TestLargeBodies checks that large bodies are read whole, one after the other where they
+// need the same memory.
+func TestLargeBodies(t *testing.T) {
+	const size = 9 << 20
+	for _, length := range []string{fmt.Sprintf("Content-Length: %d\r\n", size), ""} {
+		client, _ := newScriptedServer(t, func(c net.Conn, r *http.Request, _ int) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nProof: p\r\nConnection: close\r\n%s\r\n", r.Header.Get("Id"), length)
+			if _, err := c.Write(make([]byte, size)); err != nil {
+				t.Errorf("write: %v", err)
+			}
+			_ = c.Close()
+		})
+		var callers sync.WaitGroup
+		for i := range 4 {
+			callers.Go(func() {
+				resp, err := client.Do(context.Background(), request(fmt.Sprint("r", i)))
+				if err != nil || len(resp.Body) != size {
+					t.Errorf("got %v, %v", resp, err)
+				}
+			})
+		}
+		callers.Wait()
+	}
+}
