An answer of the platform without end is given up

Cause: of the same class as bytes without end from a backend server: the answer to a write and the lines of a watch of "fulmarhinge node" were decoded without a bound, a watch for good. All other readers of outside data have one (looked through: reports, announcements, orders, frames of peers, the users' store, heads of the node's own backend server).

Measured: TestAnswersWithoutEnd, 64 MB read of each before, passes.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -28,6 +28,10 @@
 	DefaultWatchIdleTimeout = 3 * WatchKeepAlive
 	// maxListBytes bounds the response to a list request.
 	maxListBytes = 256 << 20
+	// maxWatchLineBytes bounds one line of a watch, which carries an object with
+	// its value in base64, and maxPutResponseBytes the response to a write.
+	maxWatchLineBytes   = 2 * MaxValueBytes
+	maxPutResponseBytes = 4 << 10
 	// maxErrorBytes bounds how much of an error response's body is read.
 	maxErrorBytes = 512
 )
@@ -135,7 +139,7 @@
 	err := c.write(ctx, build, func(r *http.Response) error {
 		// The change has taken effect; a response whose version cannot be
 		// decoded counts as lost.
-		return ErrUnknown.Wrap(json.NewDecoder(r.Body).Decode(&response))
+		return ErrUnknown.Wrap(json.NewDecoder(io.LimitReader(r.Body, maxPutResponseBytes)).Decode(&response))
 	})
 	countCall(callPut, err)
 	return response.Version, err
@@ -182,9 +186,13 @@
 // readWatch passes the lines of a watch to the callbacks until the watch breaks.
 // It calls beforeLine before it reads each line.
 func readWatch(body io.Reader, beforeLine, ready func(), fn func(Object)) error {
-	d := json.NewDecoder(body)
+	// The decoder reads ahead, so that the bound of a line includes what is read of
+	// the next ones.
+	limited := &io.LimitedReader{R: body}
+	d := json.NewDecoder(limited)
 	for {
 		beforeLine()
+		limited.N = maxWatchLineBytes
 		var line WatchLine
 		if err := d.Decode(&line); err != nil {
 			return ErrUnavailable.Wrap(fmt.Errorf("read of the watch failed: %w", err))
