Soak: backends that name a limit or state in their answers that they leave

Two more faults, and checks of what backends get afterwards from the machines that passed the statement on, over restarts, pauses and cuts of nodes.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -62,6 +62,7 @@
 	f.checker.requestEnded(id, resp.StatusCode)
 	if resp.StatusCode == http.StatusOK {
 		backend := strings.TrimPrefix(resp.Header.Get(standin.HeaderProof), "seal-")
+		f.checker.passedOn(m.name, backend, id, resp.Header)
 		if want := standin.Body(backend, m.settings.Service, id); !bytes.Equal(body, want) {
 			f.checker.report("request %s got a wrong body of %d bytes that starts with %q", id, len(body), firstLine(body))
 		}
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -30,6 +30,7 @@
 	// the backend instance that held it.
 	highestGeneration [maxKey + 1]uint64
 	lastHolder        [maxKey + 1]string
+	statements        statements
 }
 
 // holder is one instance of a backend, from start to stop, and the rows that it
@@ -43,7 +44,7 @@
 func newChecker() *checker {
 	return &checker{
 		started: time.Now(), arrivals: map[string]int{}, executions: map[string]int{}, nonIdempotent: map[string]bool{},
-		refused: map[string]int{}, statuses: map[string]int{}, holders: map[string]*holder{},
+		refused: map[string]int{}, statuses: map[string]int{}, holders: map[string]*holder{}, statements: newStatements(),
 	}
 }
 
@@ -62,10 +63,11 @@
 }
 
 // Reached implements standin.Observer.
-func (c *checker) Reached(id string) {
+func (c *checker) Reached(id, backend string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.arrivals[id]++
+	c.checkStatements(id, backend)
 }
 
 // Ran implements standin.Observer.
@@ -131,6 +133,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.holders, backend)
+	c.statements.forgetBackend(backend)
 }
 
 // requestSent records a request before it is sent.
@@ -140,6 +143,7 @@
 	if nonIdempotent {
 		c.nonIdempotent[id] = true
 	}
+	c.statements.sentAt[id] = time.Now()
 }
 
 // requestEnded records the status that a caller got; 0 means no answer.
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -27,7 +27,7 @@
 		}
 		return f.drain(m)
 	}},
-	{"node paused", func(_ *fleet, m *machine, _ *rand.Rand) func() {
+	{"node paused", func(f *fleet, m *machine, _ *rand.Rand) func() {
 		process := m.process
 		m.paused = true
 		m.signal(syscall.SIGSTOP)
@@ -35,6 +35,7 @@
 			if m.process == process {
 				m.signal(syscall.SIGCONT)
 				m.paused = false
+				f.checker.excuse(m.name)
 			}
 		}
 	}},
@@ -118,6 +119,22 @@
 			f.store.SetFaults(standin.Faults{})
 		}
 	}},
+	{"limit named", func(f *fleet, m *machine, rng *rand.Rand) func() {
+		limit := 3 + rng.Float64()*20
+		f.checker.limitNamed(m.backend.ID(), limit)
+		m.backend.StateLimit(limit)
+		return func() {
+			f.checker.limitNamed(m.backend.ID(), 0)
+			m.backend.StateLimit(0)
+		}
+	}},
+	{"leaving stated", func(f *fleet, m *machine, _ *rand.Rand) func() {
+		m.backend.StateLeaving()
+		return func() {
+			m.backend.Stop()
+			must(f.t, m.backend.Start())
+		}
+	}},
 	{"configuration changed", func(f *fleet, _ *machine, _ *rand.Rand) func() {
 		f.changeConfig()
 		return nil
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -172,6 +172,7 @@
 	must(f.t, cmd.Start())
 	exited := make(chan struct{})
 	m.process, m.exited, m.configVersion, m.paused = cmd.Process, exited, 0, false
+	f.checker.excuse(m.name)
 	go func() {
 		// The exit status is ignored: faults kill most processes, and the log shows
 		// how the others ended.
