fleet: a limit that changes in each answer sends no extra statuses; a known red test

Cause: the node sent a status at once for each new value, up to 25 a second.

TestCallerDisconnectsDuringStall failed once beside other tests. The 5 ms that the check allows are too short on a busy machine; not mended here.

Measured: tests of limits and leaving servers in fleet pass.

--- a/internal/fleet/stated.go
+++ b/internal/fleet/stated.go
@@ -52,7 +52,7 @@
 }
 
 // handleServerStated records what the server has stated in its responses. The leader
-// learns a new limit with the next status, and moves load off the server.
+// learns the limit with the next status, and moves load off the server.
 func (m *Machine) handleServerStated(e ServerStated) {
 	l := &m.local
 	if !l.alive || l.server.Instance != e.Instance {
@@ -61,8 +61,10 @@
 	if e.Leaving {
 		m.serverLeaves()
 	}
-	if limit := (serverLimit{e.Limited, e.Limit}); l.limit != limit {
-		l.limit = limit
+	if l.limit.named != e.Limited {
+		// A change of the value goes with the next status: a server may name
+		// another one in each answer.
 		m.sendStatusNow()
 	}
+	l.limit = serverLimit{e.Limited, e.Limit}
 }
