gate: requests that wait for a key notice at once that the server leaves

Cause: a statement in an answer did not wake them, they checked every 100 ms. A refusal at a server that names a limit of 0 was not counted as one for the limit.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -247,7 +247,7 @@
 		reason, retryAfter := r.gate.queue.Acquire(ctx, queued)
 		switch reason {
 		case admission.Overloaded:
-			if r.gate.Limit() > 0 {
+			if r.gate.Stated().Limited {
 				limitRefusals.Inc()
 			}
 			return refuse(result.BackendBusy, retryAfter), nil
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -63,9 +63,8 @@
 // reporting it.
 func (g *Gate) MarkLeaving() {
 	g.notices.mu.Lock()
+	defer g.notices.mu.Unlock()
 	g.markLeaving(time.Now())
-	g.notices.mu.Unlock()
-	g.wake()
 }
 
 // markLeaving marks the server as leaving since the given time. The caller holds the
@@ -77,6 +76,7 @@
 	}
 	g.notices.leavingSince = since
 	g.setServer(&s.Server)
+	g.wake()
 }
 
 // recordNotice records the notice in the response to a request that was sent to the
