gate: malformed numbers in a peer's notice are ignored

Cause: one malformed message must not change what a gate does. An infinite limit was adopted as a pace of nothing, and an age of the wrong sign put the drain period into the future.

Measured: TestMalformedNoticeOfPeer failed before (limits adopted, times in the future) and passes.

--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -133,6 +134,12 @@
 	}
 }
 
+// maxLeavingAgeMs bounds the age of a notice of a peer; every drain period is over by then.
+const maxLeavingAgeMs = 3600_000
+
+// isLimit reports whether a number that a peer sent can be a limit.
+func isLimit(perSecond float64) bool { return perSecond >= 0 && !math.IsInf(perSecond, 1) }
+
 // adoptNotice takes over what a peer was told by the server while an earlier process of
 // this node ran. A limit counts only until the server has answered this process.
 func (g *Gate) adoptNotice(told *wire.ServerNotice) {
@@ -145,12 +152,12 @@
 	if n.instance.ID != told.GetId() || n.instance.StartedMs != told.GetBornMs() {
 		return
 	}
-	if told.GetLimited() && !n.answered && !n.limited {
+	if told.GetLimited() && isLimit(told.GetLimit()) && !n.answered && !n.limited {
 		g.log.Info("limit of the backend server adopted from a peer", "server", n.instance.ID, "per_second", told.GetLimit())
 		g.setLimit(true, told.GetLimit())
 	}
 	if told.GetLeaving() && n.leavingSince.IsZero() {
-		age := time.Duration(told.GetLeavingMs()) * time.Millisecond
+		age := time.Duration(min(max(told.GetLeavingMs(), 0), maxLeavingAgeMs)) * time.Millisecond
 		g.log.Info("leaving of the backend server adopted from a peer", "server", n.instance.ID, "age_ms", age.Milliseconds())
 		g.markLeaving(time.Now().Add(-age))
 	}
--- a/internal/gate/notice_test.go
+++ b/internal/gate/notice_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
+
+	"fulmarhinge/internal/wire"
 )
 
 const (
@@ -132,3 +135,25 @@
 		})
 	}
 }
+
+// TestMalformedNoticeOfPeer sends notices whose numbers no server states. None changes the
+// rate of a server or moves the start of its drain period to the future.
+func TestMalformedNoticeOfPeer(t *testing.T) {
+	for _, limit := range []float64{-1, math.NaN(), math.Inf(1)} {
+		g := newGate(t, &backend{}, always(true))
+		h := head("5")
+		h.Notice = &wire.ServerNotice{Id: "i-1", BornMs: testStartedMs, Limited: true, Limit: limit}
+		if g.Do(t.Context(), h, nil); g.Stated().Limited {
+			t.Errorf("limit %v adopted", limit)
+		}
+	}
+	for _, ms := range []int64{-1, math.MinInt64, math.MaxInt64} {
+		g := newGate(t, &backend{}, always(true))
+		h := head("5")
+		h.Notice = &wire.ServerNotice{Id: "i-1", BornMs: testStartedMs, Leaving: true, LeavingMs: ms}
+		g.Do(t.Context(), h, nil)
+		if s := g.Server(); s.Ready || s.leavingSince.After(time.Now()) {
+			t.Errorf("after %d ms: ready %v, leaving since %v", ms, s.Ready, s.leavingSince)
+		}
+	}
+}
