--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -339,8 +339,8 @@
 		m.keyedServices = e.KeyedServices
 	case ServerDown:
 		m.handleServerDown(e.Instance)
-	case ServerStated:
-		m.handleServerStated(e)
+	case ServerNotice:
+		m.handleServerNotice(e)
 	case LoadSampled:
 		m.local.loads = e.Spans
 		m.local.observeServiceTime(e.MeanServiceTime)
--- a/internal/fleet/stated.go
+++ b/internal/fleet/notice.go
@@ -1,8 +1,8 @@
 package fleet
 
-// ServerStated reports what the backend server has stated about itself in its
+// ServerNotice reports what the backend server has stated about itself in its
 // responses.
-type ServerStated struct {
+type ServerNotice struct {
 	Instance Instance
 	// Limited is true if the server names a limit: it takes Limit requests per
 	// second from all nodes together.
@@ -12,7 +12,7 @@
 	Leaving bool
 }
 
-func (ServerStated) event() {}
+func (ServerNotice) event() {}
 
 // serverLimit is the limit that a backend server names. The zero value is none.
 type serverLimit struct {
@@ -51,9 +51,9 @@
 	}
 }
 
-// handleServerStated records what the server has stated in its responses. The leader
+// handleServerNotice records what the server has stated in its responses. The leader
 // learns the limit with the next status, and moves load off the server.
-func (m *Machine) handleServerStated(e ServerStated) {
+func (m *Machine) handleServerNotice(e ServerNotice) {
 	l := &m.local
 	if !l.alive || l.server.Instance != e.Instance {
 		return
--- a/internal/fleet/stated_test.go
+++ b/internal/fleet/notice_test.go
@@ -49,7 +49,7 @@
 	if before < total/8 {
 		t.Fatalf("the server is asked %.0f requests per second before it names a limit", before)
 	}
-	n.machine.Step(s.now, ServerStated{Instance: n.server.instance, Limited: true, Limit: limit})
+	n.machine.Step(s.now, ServerNotice{Instance: n.server.instance, Limited: true, Limit: limit})
 	play(6 * time.Second)
 	if after := ownedRate(s.leader().machine.doc, n.name, total); after > limit {
 		t.Errorf("the server is asked %.0f requests per second, before it named its limit %.0f; it takes %.0f", after, before, limit)
@@ -65,13 +65,13 @@
 	s.runUntil(s.now.Add(6 * time.Second))
 	n := s.nodes[0]
 	earlier := n.server.instance
-	n.machine.Step(s.now, ServerStated{Instance: earlier, Limited: true, Limit: 5})
+	n.machine.Step(s.now, ServerNotice{Instance: earlier, Limited: true, Limit: 5})
 	if !n.machine.local.limit.named {
 		t.Fatal("the limit is not recorded")
 	}
 	n.startServer()
 	s.runUntil(s.now.Add(3 * time.Second))
-	n.machine.Step(s.now, ServerStated{Instance: earlier, Limited: true, Limit: 5, Leaving: true})
+	n.machine.Step(s.now, ServerNotice{Instance: earlier, Limited: true, Limit: 5, Leaving: true})
 	if l := n.machine.local; l.limit.named || !l.server.Ready {
 		t.Errorf("limit %+v, ready %v", l.limit, l.server.Ready)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -187,7 +187,7 @@
 	if s := g.server.Load(); s != nil {
 		out.Slots = uint32(s.Slots)
 	}
-	if out.Notice = g.notice(); out.GetNotice().GetLimited() {
+	if out.Notice = g.wireNotice(); out.GetNotice().GetLimited() {
 		out.LimitWaitMs = uint32(g.queue.RateWait().Milliseconds())
 	}
 	if h.GetBulk() {
@@ -247,7 +247,7 @@
 		reason, retryAfter := r.gate.queue.Acquire(ctx, queued)
 		switch reason {
 		case admission.Overloaded:
-			if r.gate.Stated().Limited {
+			if r.gate.Notice().Limited {
 				limitRefusals.Inc()
 			}
 			return refuse(result.BackendBusy, retryAfter), nil
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -140,31 +140,31 @@
 // isLimit reports whether a number that a peer sent can be a limit.
 func isLimit(perSecond float64) bool { return perSecond >= 0 && !math.IsInf(perSecond, 1) }
 
-// adoptNotice takes over what a peer was told by the server while an earlier process of
-// this node ran. A limit counts only until the server has answered this process.
-func (g *Gate) adoptNotice(told *wire.ServerNotice) {
-	if told == nil {
+// adoptNotice takes over a peer's copy of the notice of the server, which an earlier
+// process of this node passed on. A limit counts only until the server has answered this process.
+func (g *Gate) adoptNotice(peers *wire.ServerNotice) {
+	if peers == nil {
 		return
 	}
 	n := &g.notices
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.instance.ID != told.GetId() || n.instance.StartedMs != told.GetBornMs() {
+	if n.instance.ID != peers.GetId() || n.instance.StartedMs != peers.GetBornMs() {
 		return
 	}
-	if told.GetLimited() && isLimit(told.GetLimit()) && !n.answered && !n.limited {
-		g.log.Info("limit of the backend server adopted from a peer", "server", n.instance.ID, "per_second", told.GetLimit())
-		g.setLimit(true, told.GetLimit())
+	if peers.GetLimited() && isLimit(peers.GetLimit()) && !n.answered && !n.limited {
+		g.log.Info("limit of the backend server adopted from a peer", "server", n.instance.ID, "per_second", peers.GetLimit())
+		g.setLimit(true, peers.GetLimit())
 	}
-	if told.GetLeaving() && n.leavingSince.IsZero() {
-		age := time.Duration(min(max(told.GetLeavingMs(), 0), maxLeavingAgeMs)) * time.Millisecond
+	if peers.GetLeaving() && n.leavingSince.IsZero() {
+		age := time.Duration(min(max(peers.GetLeavingMs(), 0), maxLeavingAgeMs)) * time.Millisecond
 		g.log.Info("leaving of the backend server adopted from a peer", "server", n.instance.ID, "age_ms", age.Milliseconds())
 		g.markLeaving(time.Now().Add(-age))
 	}
 }
 
-// notice returns what the server has stated, nil if nothing.
-func (g *Gate) notice() *wire.ServerNotice {
+// wireNotice returns what the server has stated, nil if nothing.
+func (g *Gate) wireNotice() *wire.ServerNotice {
 	n := &g.notices
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -178,11 +178,11 @@
 	return out
 }
 
-// Stated returns what the server has stated about itself in its responses.
-func (g *Gate) Stated() fleet.ServerStated {
+// Notice returns what the server has stated about itself in its responses.
+func (g *Gate) Notice() fleet.ServerNotice {
 	g.notices.mu.Lock()
 	defer g.notices.mu.Unlock()
-	return fleet.ServerStated{
+	return fleet.ServerNotice{
 		Instance: g.notices.instance, Limited: g.notices.limited, Limit: g.notices.limit, Leaving: !g.notices.leavingSince.IsZero(),
 	}
 }
--- a/internal/gate/notice_test.go
+++ b/internal/gate/notice_test.go
@@ -143,7 +143,7 @@
 		// The answer ends a limit that was adopted, so it is looked at before.
 		var g *Gate
 		adopted := false
-		g = newGate(t, &backend{respond: func(http.ResponseWriter, *http.Request, int64) { adopted = g.Stated().Limited }}, always(true))
+		g = newGate(t, &backend{respond: func(http.ResponseWriter, *http.Request, int64) { adopted = g.Notice().Limited }}, always(true))
 		h := head("5")
 		h.Notice = &wire.ServerNotice{Id: "i-1", BornMs: testStartedMs, Limited: true, Limit: limit}
 		if g.Do(t.Context(), h, nil); adopted {
--- a/internal/ingress/told_test.go
+++ b/internal/ingress/notices_test.go
@@ -10,9 +10,9 @@
 	"fulmarhinge/internal/wire"
 )
 
-// TestTold checks what a node remembers of the notices in responses, and passes on with
+// TestNoticeCache checks what a node remembers of the notices in responses, and passes on with
 // the next request.
-func TestTold(t *testing.T) {
+func TestNoticeCache(t *testing.T) {
 	now := time.Unix(1000, 0)
 	member := &fleet.Member{MemberRef: cluster.MemberRef{Name: "m"}, Server: &fleet.Server{Instance: fleet.Instance{ID: "i", StartedMs: 7}}}
 	other := &fleet.Member{MemberRef: cluster.MemberRef{Name: "n"}, Server: &fleet.Server{Instance: fleet.Instance{ID: "j", StartedMs: 7}}}
@@ -39,25 +39,25 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			var told toldNotices
+			var cache noticeCache
 			for _, h := range tc.responses {
-				told.record(now, "m", h)
+				cache.record(now, "m", h)
 			}
-			n := told.wire(now.Add(time.Second), member)
+			n := cache.wire(now.Add(time.Second), member)
 			if (n != nil) != tc.known || n.GetLimit() != tc.limit || n.GetLeaving() != tc.leaving {
 				t.Errorf("got %v", n)
 			}
 			if tc.leaving && n.GetLeavingMs() != 1500 {
 				t.Errorf("leaving for %d ms, expected 1500", n.GetLeavingMs())
 			}
-			if stay := told.withoutLeaving([]*fleet.Member{member, other}); (len(stay) == 1) != tc.leaving {
+			if stay := cache.withoutLeaving([]*fleet.Member{member, other}); (len(stay) == 1) != tc.leaving {
 				t.Errorf("%d members are left to choose from", len(stay))
 			}
-			if all := told.withoutLeaving([]*fleet.Member{member}); len(all) != 1 {
+			if all := cache.withoutLeaving([]*fleet.Member{member}); len(all) != 1 {
 				t.Error("no member is left to choose from")
 			}
-			told.prune(&fleet.Document{})
-			if told.wire(now, member) != nil {
+			cache.prune(&fleet.Document{})
+			if cache.wire(now, member) != nil {
 				t.Error("the notice of a member that has left is kept")
 			}
 		})
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -248,7 +248,7 @@
 	if v == nil {
 		return nil
 	}
-	return q.server.told.withoutLeaving(v.readyMembers[q.service])
+	return q.server.notices.withoutLeaving(v.readyMembers[q.service])
 }
 
 // attempt makes one attempt to send the request to a node.
@@ -300,7 +300,7 @@
 		DeadlineMs: uint64(max(1, q.deadline.Sub(now).Milliseconds())), ContentLength: int64(len(q.body)),
 		Priority: uint32(q.route.Priority), TargetMs: q.received.Add(q.route.TargetLatency - q.age).Sub(now).Milliseconds(),
 		Idempotent: q.route.Idempotent, Bulk: q.route.Bulk, SentUs: int64(clock.Now()) / int64(time.Microsecond),
-		Notice: q.server.told.wire(now, m),
+		Notice: q.server.notices.wire(now, m),
 	}
 	var h *wire.ResponseHead
 	var body []byte
@@ -309,7 +309,7 @@
 	} else {
 		h, body = q.sendRemote(ctx, m, head)
 	}
-	q.server.told.record(time.Now(), m.Name, h)
+	q.server.notices.record(time.Now(), m.Name, h)
 	return h, body
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -68,7 +68,7 @@
 	picker      *picker
 	budget      *retryBudget
 	outcomes    *outcomeLog
-	told        toldNotices
+	notices     noticeCache
 	stalls      stallDetector
 	// One in servedOneIn requests that are served on the first attempt is logged, or
 	// none if it is 0; servedCount counts all such requests while sampling is on.
@@ -136,7 +136,7 @@
 // SetView replaces the view and wakes the requests that wait for a change.
 func (s *Server) SetView(v *View) {
 	s.view.Store(v)
-	s.told.prune(v.Doc)
+	s.notices.prune(v.Doc)
 	ch := make(chan struct{})
 	close(*s.viewChanged.Swap(&ch))
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -46,7 +46,7 @@
 	lastSample time.Time
 	lastReport time.Time
 	lastProbe  time.Time
-	lastStated fleet.ServerStated
+	lastNotice fleet.ServerNotice
 	handovers  handoverTimer
 	// platformLost is true while reads and writes of the fleet document fail.
 	platformLost bool
@@ -210,9 +210,9 @@
 		l.node.machine.Step(clock.Now(), fleet.LoadSampled{Spans: spans, MeanServiceTime: meanWork})
 		l.node.ingress.Flush()
 	}
-	if stated := l.node.gate.Stated(); stated != l.lastStated || stated.Limited || stated.Leaving {
-		l.lastStated = stated
-		l.node.machine.Step(clock.Now(), stated)
+	if notice := l.node.gate.Notice(); notice != l.lastNotice || notice.Limited || notice.Leaving {
+		l.lastNotice = notice
+		l.node.machine.Step(clock.Now(), notice)
 	}
 	l.probeBackend(now)
 	l.node.machine.Step(clock.Now(), fleet.Tick{})
