ingress: notices outlive a short absence of the member

Cause: a node that was cut off for long is dropped from the document, and with it that its server leaves. If it also restarts and comes back beside the same server, nobody would know; the entries that had passed the notice on dropped it with the member.

Change: they keep it for a minute.

Measured: TestNoticeCache checks both sides of the minute; it fails to build before.

--- a/internal/ingress/notices.go
+++ b/internal/ingress/notices.go
@@ -24,8 +24,13 @@
 	limit    float64
 	// leavingSince is when the server stated that it leaves, zero if it has not.
 	leavingSince time.Time
+	receivedAt   time.Time
 }
 
+// noticeRetention is how long the notice of a member that is not listed is kept: its node
+// may have been cut off and come back without its own memory, beside the same server.
+const noticeRetention = time.Minute
+
 // record takes over the notice in the response of a member's gate. A gate that has no
 // notice may have restarted: only an answer of the server itself ends its limit.
 func (c *noticeCache) record(now time.Time, member string, h *wire.ResponseHead) {
@@ -39,7 +44,7 @@
 		}
 		return
 	}
-	next := cachedNotice{instance: fleet.Instance{ID: n.GetId(), StartedMs: n.GetBornMs()}, limited: n.GetLimited(), limit: n.GetLimit()}
+	next := cachedNotice{instance: fleet.Instance{ID: n.GetId(), StartedMs: n.GetBornMs()}, limited: n.GetLimited(), limit: n.GetLimit(), receivedAt: now}
 	if old := c.byMember[member]; old.instance == next.instance {
 		next.leavingSince = old.leavingSince
 	}
@@ -93,12 +98,12 @@
 	return members
 }
 
-// prune drops the notices of members that have left the fleet.
-func (c *noticeCache) prune(doc *fleet.Document) {
+// prune drops the notices of members that left the fleet a while ago.
+func (c *noticeCache) prune(now time.Time, doc *fleet.Document) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for name := range c.byMember {
-		if doc.Members[name] == nil {
+	for name, n := range c.byMember {
+		if doc.Members[name] == nil && now.Sub(n.receivedAt) > noticeRetention {
 			delete(c.byMember, name)
 		}
 	}
--- a/internal/ingress/notices_test.go
+++ b/internal/ingress/notices_test.go
@@ -56,7 +56,11 @@
 			if all := cache.withoutLeaving([]*fleet.Member{member}); len(all) != 1 {
 				t.Error("no member is left to choose from")
 			}
-			cache.prune(&fleet.Document{})
+			cache.prune(now.Add(noticeRetention), &fleet.Document{})
+			if got := cache.wire(now, member); (got != nil) != tc.known {
+				t.Errorf("notice %v of a member that has just left", got)
+			}
+			cache.prune(now.Add(noticeRetention+time.Second), &fleet.Document{})
 			if cache.wire(now, member) != nil {
 				t.Error("the notice of a member that has left is kept")
 			}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -136,7 +136,7 @@
 // SetView replaces the view and wakes the requests that wait for a change.
 func (s *Server) SetView(v *View) {
 	s.view.Store(v)
-	s.notices.prune(v.Doc)
+	s.notices.prune(time.Now(), v.Doc)
 	ch := make(chan struct{})
 	close(*s.viewChanged.Swap(&ch))
 }
