gate: the drain period does not begin again when a leaving server deregisters

MarkLeaving took the present time also for a server that had announced before that it leaves, so it would have been sent requests for another 1.5 s after its deregistration.

--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -68,11 +68,11 @@
 	g.markLeaving(time.Now())
 }
 
-// markLeaving marks the server as leaving since the given time. The caller holds the
-// lock of the notices.
+// markLeaving marks the server as leaving since the given time, unless it leaves already.
+// The caller holds the lock of the notices.
 func (g *Gate) markLeaving(since time.Time) {
 	s := g.server.Load()
-	if s == nil || s.Instance != g.notices.instance {
+	if s == nil || s.Instance != g.notices.instance || !g.notices.leavingSince.IsZero() {
 		return
 	}
 	g.notices.leavingSince = since
--- a/internal/gate/notice_test.go
+++ b/internal/gate/notice_test.go
@@ -160,3 +160,17 @@
 		}
 	}
 }
+
+// TestDeregistrationKeepsDrainPeriod guards against a drain period that begins again when a
+// server that leaves deregisters.
+func TestDeregistrationKeepsDrainPeriod(t *testing.T) {
+	b := &backend{}
+	g := newGate(t, b, always(true))
+	g.SetServer(testServer(false))
+	time.Sleep(leavingAcceptPeriod + 20*time.Millisecond)
+	g.MarkLeaving()
+	g.Do(t.Context(), head("5"), nil)
+	if n := b.calls.Load(); n != 0 {
+		t.Errorf("%d requests reached the server", n)
+	}
+}
