Delay of the control goroutine, and what a leader sent in its term, in logs and metrics

Change: a line and a histogram of late ticks of the control goroutine; the line of a lost leadership says how long it was held, how many members followed and how many whole documents were sent. No decision depends on them.

--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -76,6 +76,8 @@
 	// promisedAt is when each member was last promised that the document is not
 	// written.
 	promisedAt map[string]clock.Mono
+	// wholeDocuments counts the whole documents that were sent to members.
+	wholeDocuments int
 }
 
 // restartedMember is a new incarnation of a member that the document does not
@@ -119,9 +121,11 @@
 }
 
 func (m *Machine) stepDown() {
+	l := m.leadership
 	m.leadership = nil
 	m.lease.leaderLastSeenAt, m.lease.lastAnswerAt = m.now, m.now
-	m.note("leadership lost", "term", m.doc.Term, "leader", m.doc.Leader.String(), "resigned", m.doc.Resigned)
+	m.note("leadership lost", "term", m.doc.Term, "leader", m.doc.Leader.String(), "resigned", m.doc.Resigned,
+		"led", m.now.Sub(l.claimedAt), "followers", len(l.statuses), "whole_documents", l.wholeDocuments)
 }
 
 // trackEvictions records when members were marked as evicted. From then on
@@ -222,6 +226,7 @@
 			return
 		}
 		m.leadership.resentAt[name] = m.now
+		m.leadership.wholeDocuments++
 	}
 	m.send(s.GetPeerAddr(), update)
 }
@@ -397,6 +402,7 @@
 			continue
 		}
 		m.leadership.resentAt[name] = m.now
+		m.leadership.wholeDocuments++
 		m.send(mem.Addr, m.documentMessage())
 	}
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -35,6 +35,10 @@
 	probeInterval = 300 * time.Millisecond
 	// probeTimeout limits one probe; the server is on the same VM.
 	probeTimeout = 200 * time.Millisecond
+	// longControlDelay is the delay of a tick above which it is logged, at most once
+	// in controlDelayLogInterval. Peers take a leader that is late by more for silent.
+	longControlDelay        = 300 * time.Millisecond
+	controlDelayLogInterval = time.Second
 )
 
 // controlLoop is the control goroutine, which owns the fleet state machine.
@@ -46,8 +50,11 @@
 	lastSample time.Time
 	lastReport time.Time
 	lastProbe  time.Time
-	lastNotice fleet.ServerNotice
-	handovers  handoverTimer
+	lastTick   time.Time
+	// delayLoggedAt is when a late tick was last logged.
+	delayLoggedAt time.Time
+	lastNotice    fleet.ServerNotice
+	handovers     handoverTimer
 	// platformLost is true while reads and writes of the fleet document fail.
 	platformLost bool
 }
@@ -201,8 +208,26 @@
 	l.platformLost = err != nil
 }
 
+// recordDelay records how late a tick is: the process lacked processor time, or events
+// took long to handle.
+func (l *controlLoop) recordDelay(now time.Time) {
+	last := l.lastTick
+	l.lastTick = now
+	if last.IsZero() {
+		return
+	}
+	delay := max(now.Sub(last)-tickInterval, 0)
+	controlDelay.Update(delay.Seconds())
+	if delay > longControlDelay && now.Sub(l.delayLoggedAt) > controlDelayLogInterval {
+		l.delayLoggedAt = now
+		l.node.log.Warn("control goroutine delayed", "delay_ms", delay.Milliseconds(), "queued_events", len(l.events),
+			"leads", l.node.machine.Leads())
+	}
+}
+
 func (l *controlLoop) tick() {
 	now := time.Now()
+	l.recordDelay(now)
 	l.node.ingress.Heartbeat()
 	if now.Sub(l.lastSample) >= loadSampleInterval {
 		l.lastSample = now
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -29,6 +29,7 @@
 	reportsStale   = metrics.NewCounter("fulmarhinge_reports_stale_total")
 	reportsRefused = metrics.NewCounter("fulmarhinge_reports_refused_total")
 	handoverGap    = metrics.NewHistogram("fulmarhinge_handover_gap_seconds")
+	controlDelay   = metrics.NewHistogram("fulmarhinge_control_delay_seconds")
 	reportSeconds  = metrics.NewHistogram("fulmarhinge_report_interval_seconds")
 )
 
