--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -29,6 +29,8 @@
 	store simStore
 	// reliable is true once no message is lost or delayed any more.
 	reliable bool
+	// linkMbps is the bandwidth of every node's link in Mbit/s; 0 means no limit.
+	linkMbps float64
 	// violations holds the violated guarantees.
 	violations []string
 	trace      []string
@@ -161,8 +163,10 @@
 	partitioned, storeUnreachable bool
 	incarnation                   uint64
 	held                          *Held
-	server                        *simServer
-	deferredCalls                 []func()
+	// linkFreeAt is when the node's link has sent all earlier messages.
+	linkFreeAt    clock.Mono
+	server        *simServer
+	deferredCalls []func()
 }
 
 func newSim(seed int64, nodes int) *sim {
@@ -256,16 +260,40 @@
 			delay = s.randomDuration(200, 4000)
 		}
 	}
-	if n.partitioned || to == nil || to.partitioned {
+	sent, lost := n.transmit(proto.Size(body))
+	if lost || n.partitioned || to == nil || to.partitioned || to.backlog() > simSessionTimeout {
 		return
 	}
-	s.after(delay, func() {
+	s.after(sent+delay, func() {
 		if to.up && !to.partitioned && !n.partitioned {
 			to.whenNotFrozen(func() { to.step(Message{From: from, Body: body}) })
 		}
 	})
 }
 
+const (
+	// simSessionTimeout is how long a node's link may be backlogged before the sessions
+	// with its peers time out, in both directions. Messages are lost then, and what was
+	// sent of them has used the link for nothing.
+	simSessionTimeout = 500 * time.Millisecond
+	// simMaxBacklog is the age at which queued messages are dropped.
+	simMaxBacklog = time.Second
+)
+
+// backlog returns how long the node's link takes to send what is queued.
+func (n *simNode) backlog() time.Duration { return max(n.linkFreeAt.Sub(n.sim.now), 0) }
+
+// transmit queues a message of this size on the node's link and returns when it has been
+// sent, or that it is lost.
+func (n *simNode) transmit(size int) (after time.Duration, lost bool) {
+	if n.sim.linkMbps == 0 {
+		return 0, false
+	}
+	after = n.backlog() + time.Duration(float64(size*8)/(n.sim.linkMbps*1e6)*float64(time.Second))
+	n.linkFreeAt = n.sim.now.Add(min(after, simMaxBacklog))
+	return after, after > simSessionTimeout
+}
+
 func (s *sim) node(name string) *simNode {
 	for _, n := range s.nodes {
 		if n.name == name {
