fleet: a leader paces whole documents to half of its link

Cause: a new leader has heard from nobody, so every member counted as silent and was sent the whole document at once, and again each half second. On a link of 11 Mbit/s that delays its answers beyond the timeouts of its sessions; its followers replace it, and the next leader does the same. The class: a recovery action that costs each member something, started by all at the moment of weakness, without a bound.

Change: silence counts from the claim at the earliest; whole documents, resent or in answer to a status, share one pacer over all members; those that have waited longest come first.

--- a/internal/fleet/large_test.go
+++ b/internal/fleet/large_test.go
@@ -11,9 +11,8 @@
 // newSmallLinkFleet returns a started fleet whose links are slow against the size of
 // its document.
 func newSmallLinkFleet(seed int64) *sim {
-	s := newSim(seed, 80)
+	s := newSimOverLinks(seed, 80, 11)
 	s.reliable = true
-	s.linkMbps = 11
 	s.runUntil(s.now.Add(10 * time.Second))
 	return s
 }
--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -23,11 +23,6 @@
 	// evictedRetention is how long an evicted member without rows stays in the
 	// document.
 	evictedRetention = 5 * time.Second
-	// resendAfter is how long a member, or the leader, may be silent before it
-	// is sent the document again, and resendInterval the least time between two
-	// such messages.
-	resendAfter    = 700 * time.Millisecond
-	resendInterval = 500 * time.Millisecond
 	// transferWeightRatio is the ratio to the leader's weight that another
 	// member's weight must exceed for the leadership to be transferred to it.
 	transferWeightRatio = 1.5
@@ -62,9 +57,11 @@
 	// restarted holds the restarted members that are renewed although their new
 	// incarnation cannot be written to the platform.
 	restarted map[string]restartedMember
-	// resentAt is when the document was last sent again to a silent member.
+	// resentAt is when each member was last sent the whole document.
 	resentAt map[string]clock.Mono
-	balance  balanceState
+	// documents spaces the whole documents that are sent to members.
+	documents documentPacer
+	balance   balanceState
 	// term is the term of this leadership.
 	term uint64
 	// resumed is true if an earlier process of this node won the term. This
@@ -76,8 +73,6 @@
 	// promisedAt is when each member was last promised that the document is not
 	// written.
 	promisedAt map[string]clock.Mono
-	// wholeDocuments counts the whole documents that were sent to members.
-	wholeDocuments int
 }
 
 // restartedMember is a new incarnation of a member that the document does not
@@ -125,7 +120,7 @@
 	m.leadership = nil
 	m.lease.leaderLastSeenAt, m.lease.lastAnswerAt = m.now, m.now
 	m.note("leadership lost", "term", m.doc.Term, "leader", m.doc.Leader.String(), "resigned", m.doc.Resigned,
-		"led", m.now.Sub(l.claimedAt), "followers", len(l.statuses), "whole_documents", l.wholeDocuments)
+		"led", m.now.Sub(l.claimedAt), "followers", len(l.statuses), "whole_documents", l.documents.sent)
 }
 
 // trackEvictions records when members were marked as evicted. From then on
@@ -216,21 +211,6 @@
 	}
 }
 
-// bringUpToDate sends a member what it lacks of the document. The whole document is
-// sent again only after resendInterval: the one before may still be on its way over a
-// slow link.
-func (m *Machine) bringUpToDate(name string, s *wire.NodeStatus) {
-	update := m.documentUpdate(s.GetDocumentVersion())
-	if update.GetObjects() != nil {
-		if m.now.Sub(m.leadership.resentAt[name]) < resendInterval {
-			return
-		}
-		m.leadership.resentAt[name] = m.now
-		m.leadership.wholeDocuments++
-	}
-	m.send(s.GetPeerAddr(), update)
-}
-
 // newMemberStatus returns a status as received now.
 func (m *Machine) newMemberStatus(incarnation uint64, s *wire.NodeStatus) *memberStatus {
 	status := &memberStatus{NodeStatus: s, incarnation: incarnation, receivedAt: m.now}
@@ -392,21 +372,6 @@
 	return l.predecessorEnded || l.majorityAt > 0 || m.now >= l.claimedAt.Add(m.params.Timing.MaxOutage)
 }
 
-// resendDocument sends the document to silent members, because a restarted
-// member may be unable to read it from the platform.
-func (m *Machine) resendDocument() {
-	for name, mem := range m.doc.Members {
-		s := m.leadership.statuses[name]
-		if name == m.params.Self.Name || s != nil && m.now.Sub(s.receivedAt) < resendAfter ||
-			m.now.Sub(m.leadership.resentAt[name]) < resendInterval {
-			continue
-		}
-		m.leadership.resentAt[name] = m.now
-		m.leadership.wholeDocuments++
-		m.send(mem.Addr, m.documentMessage())
-	}
-}
-
 // earlierLeasesExpired reports whether every lease that an earlier leader can
 // have renewed has run out.
 func (m *Machine) earlierLeasesExpired() bool {
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -100,6 +100,8 @@
 	// Weight is the capacity of the node's VM relative to other nodes. The
 	// leadership moves to nodes of higher capacity.
 	Weight float64
+	// LinkMbps is the bandwidth of the VM's link in Mbit/s; 0 means no limit.
+	LinkMbps float64
 	// OperatorAddr is the IP:port of the node's endpoint for operators.
 	OperatorAddr string
 	// Nonce makes the change ids of this process unique.
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -169,8 +169,12 @@
 	deferredCalls []func()
 }
 
-func newSim(seed int64, nodes int) *sim {
-	s := &sim{rng: rand.New(rand.NewSource(seed)), now: clock.Mono(time.Hour), epochs: make([]simEpoch, MaxKey+1)}
+func newSim(seed int64, nodes int) *sim { return newSimOverLinks(seed, nodes, 0) }
+
+// newSimOverLinks returns a fleet whose nodes have links of this bandwidth in Mbit/s; 0
+// means no limit.
+func newSimOverLinks(seed int64, nodes int, linkMbps float64) *sim {
+	s := &sim{linkMbps: linkMbps, rng: rand.New(rand.NewSource(seed)), now: clock.Mono(time.Hour), epochs: make([]simEpoch, MaxKey+1)}
 	s.store = simStore{era: 1, documents: map[string]simObject{}}
 	for i := range nodes {
 		n := &simNode{sim: s, name: fmt.Sprintf("n%02d", i)}
@@ -192,7 +196,7 @@
 	timing.MaxOutage = 12 * time.Second
 	n.machine = New(n.sim.now, Params{
 		Self: cluster.MemberRef{Name: n.name, Incarnation: n.incarnation}, Addr: n.name, Zone: "z",
-		Nonce: fmt.Sprint(n.incarnation), Timing: timing,
+		Nonce: fmt.Sprint(n.incarnation), Timing: timing, LinkMbps: n.sim.linkMbps,
 	})
 	n.sim.log("%s starts as %d", n.name, n.incarnation)
 	n.step(ConfigChanged{Version: 1, KeyedServices: map[string]bool{"svc": true}})
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -138,7 +138,7 @@
 	timing := fleet.DefaultTiming()
 	timing.MaxHold = secondsToDuration(s.Bounds.MaxHoldSeconds)
 	n.machine = fleet.New(clock.Now(), fleet.Params{
-		Self: n.self, Addr: s.Listen.peerAddress(), Zone: s.Zone, Weight: s.Resources.CPUShare * s.Resources.LinkMbps,
+		Self: n.self, Addr: s.Listen.peerAddress(), Zone: s.Zone, Weight: s.Resources.CPUShare * s.Resources.LinkMbps, LinkMbps: s.Resources.LinkMbps,
 		OperatorAddr: s.Listen.Metrics, Nonce: fmt.Sprintf("%x", now.UnixNano()), Timing: timing, NewFleet: s.Platform.NewFleet,
 	})
 	n.loop = newControlLoop(n)
