fleet: members claim the leadership in the order of their VMs' capacity

Cause: since the order of claims is by hash, so that a VM with 0.16 of a core and 11 Mbit/s leads 80 members while eight VMs with 0.8 and 200 Mbit/s are there.

Change: members of higher weight come first, the hash decides among equals.

--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -52,18 +52,27 @@
 }
 
 // claimRank is this node's rank in the order in which followers claim the
-// leadership. The order is by hash, so that neighbours in it are spread over the
-// zones, which names often begin with.
+// leadership: by the capacity of their VMs, as a leader serves all members, and by
+// hash among equals, so that neighbours in it are spread over the zones, which names
+// often begin with.
 func (m *Machine) claimRank() int {
-	own, rank := xxhash.Sum64String(m.params.Self.Name), 0
+	rank := 0
 	for name, mem := range m.doc.Members {
-		if name != m.doc.Leader.Name && name != m.params.Self.Name && !mem.Evicted && xxhash.Sum64String(name) < own {
+		if name != m.doc.Leader.Name && name != m.params.Self.Name && !mem.Evicted && m.claimsBefore(mem) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// claimsBefore reports whether another member claims the leadership before this node.
+func (m *Machine) claimsBefore(mem *Member) bool {
+	if mem.Weight != m.params.Weight {
+		return mem.Weight > m.params.Weight
+	}
+	return xxhash.Sum64String(mem.Name) < xxhash.Sum64String(m.params.Self.Name)
+}
+
 // claimDelay is how much longer than claimTimeout this node waits for the leader
 // before it claims the leadership.
 func (m *Machine) claimDelay() time.Duration {
--- a/internal/fleet/large_test.go
+++ b/internal/fleet/large_test.go
@@ -60,3 +60,32 @@
 		}
 	}
 }
+
+// TestStrongestMemberClaims guards against a leader on a small VM while large ones are there to lead.
+func TestStrongestMemberClaims(t *testing.T) {
+	for seed := int64(1); seed <= 8; seed++ {
+		s := newSim(seed, 40)
+		s.reliable = true
+		for i, n := range s.nodes {
+			n.kill()
+			n.weight = 1
+			if i%10 == int(seed) {
+				n.weight = 16
+			}
+			n.start()
+		}
+		s.runUntil(s.now.Add(8 * time.Second))
+		for change := range 3 {
+			old := s.leader()
+			old.storeUnreachable = true
+			for s.leader() == old {
+				s.runUntil(s.now.Add(20 * time.Millisecond))
+			}
+			if n := s.leader(); n.weight != 16 {
+				t.Errorf("seed %d, change %d: %s of weight %v leads", seed, change+1, n.name, n.weight)
+			}
+			s.runUntil(s.now.Add(2 * time.Second))
+			old.storeUnreachable = false
+		}
+	}
+}
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -162,6 +162,7 @@
 	// the platform.
 	partitioned, storeUnreachable bool
 	incarnation                   uint64
+	weight                        float64
 	held                          *Held
 	// linkFreeAt is when the node's link has sent all earlier messages.
 	linkFreeAt    clock.Mono
@@ -196,7 +197,7 @@
 	timing.MaxOutage = 12 * time.Second
 	n.machine = New(n.sim.now, Params{
 		Self: cluster.MemberRef{Name: n.name, Incarnation: n.incarnation}, Addr: n.name, Zone: "z",
-		Nonce: fmt.Sprint(n.incarnation), Timing: timing, LinkMbps: n.sim.linkMbps,
+		Nonce: fmt.Sprint(n.incarnation), Timing: timing, LinkMbps: n.sim.linkMbps, Weight: n.weight,
 	})
 	n.sim.log("%s starts as %d", n.name, n.incarnation)
 	n.step(ConfigChanged{Version: 1, KeyedServices: map[string]bool{"svc": true}})
