ingress: count requests whose caller had left when they were read

Change: fulmarhinge_requests_caller_gone_total, from a look at the caller's socket (internal/socket, which the pool of server connections now uses too). No decision on a request depends on it; the check after a stall also looks at the socket.

--- a/internal/disconnect/disconnect.go
+++ b/internal/disconnect/disconnect.go
@@ -1,21 +1,50 @@
-// Package disconnect checks whether the caller of a delayed request has
-// disconnected. After a pause of the process or the network, the request and
-// the disconnect that follows it are both waiting to be read; without the
-// check, the request would run before the disconnect is noticed.
+// Package disconnect tells whether the caller of a request has disconnected.
 package disconnect
 
 import (
 	"context"
+	"net"
+	"syscall"
 	"time"
+
+	"fulmarhinge/internal/socket"
 )
 
-// checkDelay is the time allowed for a pending disconnect to be read from its
-// socket. On a busy machine the goroutine that reads it may not run for several
-// milliseconds.
+// checkDelay is the time allowed for the disconnect of a delayed request to
+// arrive, or to be read by its goroutine where the socket cannot be looked at.
 const checkDelay = 20 * time.Millisecond
 
-// StillConnected waits for checkDelay and reports whether ctx, which ends when
-// the caller disconnects, is still active.
+type connKey struct{}
+
+// WithConn returns a context for the requests of a caller's connection, so that
+// Gone can look at its socket.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return ctx
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		// The connection is closed already, which ends the context.
+		return ctx
+	}
+	return context.WithValue(ctx, connKey{}, raw)
+}
+
+// Gone reports whether ctx has ended or the caller has closed its connection. On a
+// node without processor time a close may be waiting behind the request, long
+// before it is read and ends the context.
+func Gone(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	raw, ok := ctx.Value(connKey{}).(syscall.RawConn)
+	return ok && socket.Peek(raw) == socket.Closed
+}
+
+// StillConnected waits for checkDelay and reports whether the caller is still
+// connected. After a pause of the process or the network, a delayed request and
+// the disconnect that follows it arrive together.
 func StillConnected(ctx context.Context) bool {
 	timer := time.NewTimer(checkDelay)
 	defer timer.Stop()
@@ -24,6 +53,6 @@
 		return false
 	case <-timer.C:
 		// Both may have come while this goroutine did not run.
-		return ctx.Err() == nil
+		return !Gone(ctx)
 	}
 }
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -23,6 +23,8 @@
 	attempts         *metrics.Counter
 	retries          *metrics.Counter
 	overBudget       *metrics.Counter
+	// callerGone counts the requests whose caller had left when they were read.
+	callerGone *metrics.Counter
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -31,6 +33,7 @@
 		attempts:   metrics.GetOrCreateCounter("fulmarhinge_dispatch_attempts_total"),
 		retries:    metrics.GetOrCreateCounter("fulmarhinge_retries_total"),
 		overBudget: metrics.GetOrCreateCounter("fulmarhinge_retries_over_budget_total"),
+		callerGone: metrics.GetOrCreateCounter("fulmarhinge_requests_caller_gone_total"),
 	}
 	for p := range priorityLabels {
 		c.requestSeconds[p] = metrics.GetOrCreateHistogram(fmt.Sprintf(`fulmarhinge_request_seconds{priority="%d"}`, p))
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -127,6 +127,9 @@
 	if s.stalls.heartbeat(clock.Now()) && !disconnect.StillConnected(q.http.Context()) {
 		return refusal(result.CancelledBefore, 0), nil
 	}
+	if disconnect.Gone(q.http.Context()) {
+		s.reqMetrics.callerGone.Inc()
+	}
 	q.forwardHeaders()
 	s.budget.addRequest(q.received, q.service)
 	return q.dispatch()
--- a/internal/ingress/serve_test.go
+++ b/internal/ingress/serve_test.go
@@ -124,7 +124,9 @@
 	s.SetConfig(testConfig())
 	s.SetView(NewView(testDocument(), 7))
 	s.SetRetryShare(RetryShare{Ratio: 0.2, Extra: 20, Window: 10 * time.Second, Nodes: 1})
-	srv := httptest.NewServer(s)
+	srv := httptest.NewUnstartedServer(s)
+	srv.Config.ConnContext = s.http.ConnContext
+	srv.Start()
 	t.Cleanup(srv.Close)
 	return srv, s, out
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -14,6 +14,7 @@
 
 	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/disconnect"
 	"fulmarhinge/internal/fleet"
 	"fulmarhinge/internal/route"
 	"fulmarhinge/internal/stopping"
@@ -113,7 +114,8 @@
 		},
 	}
 	s.http = &http.Server{
-		Handler: s, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: s, ConnContext: disconnect.WithConn, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: s.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	ch := make(chan struct{})
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,8 +12,9 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
+
+	"fulmarhinge/internal/socket"
 )
 
 const (
@@ -189,14 +190,7 @@
 	if err != nil {
 		return false
 	}
-	idle := false
-	var one [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, rerr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = errors.Is(rerr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && idle
+	return socket.Peek(raw) == socket.Nothing
 }
 
 // keepAliveTimeout returns how long the connection may stay idle after a
