ingress, gate: a request is not sent on if its caller's close waits in the socket

Cause: the entry forwards a request as soon as it has read it, and notices the caller's close only once another goroutine has read that. A node that reads late, for lack of processor time or after a restart, finds both in the socket. The check for it ran only within 30 ms of a pause of the whole process.

Change: the entry looks at the caller's socket before it forwards a request and before each repeat, the gate before it sends one of a caller on its VM. Such a request is refused as not run.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -324,6 +324,9 @@
 	if g.silence.isSilent() {
 		return refuse(result.BackendBusy, silenceCheckTimeout), nil, false
 	}
+	if disconnect.Gone(ctx) {
+		return refuse(result.CancelledBefore, 0), nil, false
+	}
 	expected := g.queue.ServiceTime(queued.Class)
 	requestsSent.Inc()
 	resp, err := g.client.Do(ctx, r.upstreamRequest(s))
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -129,6 +129,7 @@
 	}
 	if disconnect.Gone(q.http.Context()) {
 		s.reqMetrics.callerGone.Inc()
+		return refusal(result.CancelledBefore, 0), nil
 	}
 	q.forwardHeaders()
 	s.budget.addRequest(q.received, q.service)
@@ -195,7 +196,7 @@
 // outcome.
 func (q *request) shouldRetry(h *wire.ResponseHead) bool {
 	code := result.Code(h.GetCode())
-	if time.Until(q.deadline) < minAttemptTime || q.http.Context().Err() != nil {
+	if time.Until(q.deadline) < minAttemptTime || disconnect.Gone(q.http.Context()) {
 		return false
 	}
 	switch code {
