gate: the log names the requests under which a backend server ended

Change: the gate keeps the requests that an instance has not answered, and logs them when it learns of its end. A broken connection makes it look at once whether the server's address refuses connections; so that the end is noticed sooner, which is the only effect on decisions.

--- /dev/null
+++ b/internal/gate/ended.go
@@ -0,0 +1,133 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"fulmarhinge/internal/fleet"
+)
+
+const (
+	// endedWindow is how long before a server's end is known a request may have been
+	// broken by it.
+	endedWindow = 2 * time.Second
+	// breakGatherTime is how long the gate waits after a broken connection before it
+	// looks whether the server has ended: all its connections break then.
+	breakGatherTime = 20 * time.Millisecond
+	// maxBrokenRequests bounds the requests that are kept until the server's end is
+	// known or it has answered.
+	maxBrokenRequests = 256
+)
+
+var serversEnded = metrics.NewCounter("fulmarhinge_backend_ended_with_requests_total")
+
+// brokenRequest is a request that the server has not answered.
+type brokenRequest struct {
+	request  *request
+	sentAt   time.Time
+	brokenAt time.Time
+	// reset is true if its connection broke, and false if this side gave it up.
+	reset bool
+}
+
+// brokenRequests holds the requests that an instance of the server has not answered.
+// If the instance ends, one of them may be the cause.
+type brokenRequests struct {
+	mu       sync.Mutex
+	instance fleet.Instance
+	list     []brokenRequest
+	// answeredAt is when the last request that was answered had been sent.
+	answeredAt time.Time
+	checking   bool
+}
+
+// add records a request that was not answered. It reports whether the caller is to
+// look whether the server has ended.
+func (b *brokenRequests) add(instance fleet.Instance, r brokenRequest) (check bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.instance != instance {
+		b.instance, b.list = instance, nil
+	}
+	b.list = append(b.list, r)
+	if n := len(b.list); n > maxBrokenRequests {
+		b.list = append(b.list[:0], b.list[n-maxBrokenRequests:]...)
+	}
+	if !r.reset || b.checking {
+		return false
+	}
+	b.checking = true
+	return true
+}
+
+// answered records that the server answered a request that was sent at this time.
+func (b *brokenRequests) answered(sentAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if sentAt.After(b.answeredAt) {
+		b.answeredAt = sentAt
+	}
+}
+
+// take returns the requests under which an instance has ended: those whose connections
+// broke or, if it fell silent, those that were given up since it last answered.
+func (b *brokenRequests) take(instance fleet.Instance, now time.Time) []*request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.instance != instance {
+		return nil
+	}
+	var reset, silent []*request
+	for _, r := range b.list {
+		switch {
+		case now.Sub(r.brokenAt) > endedWindow:
+		case r.reset:
+			reset = append(reset, r.request)
+		case r.sentAt.After(b.answeredAt):
+			silent = append(silent, r.request)
+		}
+	}
+	b.list = nil
+	if len(reset) > 0 {
+		return reset
+	}
+	return silent
+}
+
+// requestBroken records that the server has not answered a request.
+func (r *request) requestBroken(s *Server, sentAt time.Time, reset bool) {
+	g := r.gate
+	if g.broken.add(s.Instance, brokenRequest{request: r, sentAt: sentAt, brokenAt: time.Now(), reset: reset}) {
+		go g.checkEnded()
+	}
+}
+
+// checkEnded looks whether the server has ended, which a refused connection shows.
+func (g *Gate) checkEnded() {
+	time.Sleep(breakGatherTime)
+	ctx, cancel := context.WithTimeout(context.Background(), silenceCheckTimeout)
+	defer cancel()
+	if g.client.Refuses(ctx) {
+		g.onConnRefused()
+	}
+	g.broken.mu.Lock()
+	g.broken.checking = false
+	g.broken.mu.Unlock()
+}
+
+// serverEnded handles the end of an instance of the server.
+func (g *Gate) serverEnded(instance fleet.Instance) {
+	requests := g.broken.take(instance, time.Now())
+	if len(requests) == 0 {
+		return
+	}
+	serversEnded.Inc()
+	ids := make([]string, len(requests))
+	for i, r := range requests {
+		ids[i] = r.head.GetId()
+	}
+	g.log.Warn("backend server ended while it ran requests", "server", instance.ID, "born", instance.StartedMs, "requests", ids)
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -85,6 +85,7 @@
 	delays      delayEstimator
 	silence     silence
 	notices     notices
+	broken      brokenRequests
 	healthPath  atomic.Pointer[string]
 }
 
@@ -333,6 +334,7 @@
 	serviceTime = time.Since(start)
 	if err == nil {
 		g.silence.answered(time.Now())
+		g.broken.answered(start)
 		g.recordNotice(s.Instance, start, resp)
 	}
 	switch {
@@ -344,7 +346,9 @@
 		return refuse(result.BackendUnreachable, 0), nil, false
 	case err != nil:
 		out := r.unknownOutcome(ctx, err)
-		if isCut(result.Code(out.GetCode())) {
+		cut := isCut(result.Code(out.GetCode()))
+		r.requestBroken(s, start, !cut)
+		if cut {
 			g.requestCut(start, expected)
 		}
 		return out, nil, false
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -199,6 +199,18 @@
 	return out, reusable, nil
 }
 
+// Refuses reports whether the server's address refuses connections, so that its process
+// has ended.
+func (c *Client) Refuses(ctx context.Context) bool {
+	cn, err := c.pool.dial(ctx)
+	if err == nil {
+		// A connection costs the server time, so it is used.
+		c.pool.put(cn)
+		return false
+	}
+	return IsConnectionRefused(err)
+}
+
 // IsConnectionRefused reports whether err means that nothing listens at the
 // address.
 func IsConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
