quarantine: a request under which three servers ended is sent to no more of them

Cause: nothing was kept of a request after its attempt. The class: what is learned of a request lives only as long as the attempt that learned it, in one process.

Change: the gate holds the end of an instance against the requests that it was running; of these, only those with the most ends before, as the others are likely to have run beside the cause. A complete answer clears a request. With one end a request runs one at a time and at one server, with two it is not repeated for its caller, with three it is refused (2109, not run, Retry-After an hour). Tables merge: changes go through the leader, statuses carry a digest, requests and responses what is known of them; so it outlives the process and needs no store.

--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -209,6 +209,9 @@
 	if s.GetConfigVersion() != m.configVersion {
 		m.ready.Configs = append(m.ready.Configs, ConfigDiffers{Addr: s.GetPeerAddr(), Version: s.GetConfigVersion()})
 	}
+	if s.GetSuspectsDigest() != m.suspectsDigest {
+		m.ready.Suspects = append(m.ready.Suspects, s.GetPeerAddr())
+	}
 }
 
 // newMemberStatus returns a status as received now.
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -130,6 +130,9 @@
 	// keyedServices holds the services that are divided by ordered keys.
 	keyedServices map[string]bool
 	configVersion uint64
+	// suspectsDigest is the digest of what this node knows of requests under which
+	// backend servers have ended.
+	suspectsDigest uint64
 	// configStandby is true if this node watches the configuration although it
 	// is not the leader.
 	configStandby bool
@@ -258,6 +261,9 @@
 		Version       uint64
 		KeyedServices map[string]bool
 	}
+	// SuspectsChanged reports the digest of what this node knows of requests under
+	// which backend servers have ended.
+	SuspectsChanged struct{ Digest uint64 }
 	// ServerDown reports that the backend server's address refuses connections,
 	// so its process has ended.
 	ServerDown struct{ Instance Instance }
@@ -276,6 +282,7 @@
 func (DocumentRead) event()    {}
 func (DocumentWritten) event() {}
 func (ConfigChanged) event()   {}
+func (SuspectsChanged) event() {}
 func (ServerDown) event()      {}
 func (LoadSampled) event()     {}
 func (StopRequested) event()   {}
@@ -319,6 +326,8 @@
 	// Configs lists the members whose configuration version differs from this
 	// node's.
 	Configs []ConfigDiffers
+	// Suspects lists the addresses of members that know other suspects than this node.
+	Suspects []string
 	// Held is the set of rows that the gate may use, nil if it has not changed.
 	Held *Held
 }
@@ -339,6 +348,8 @@
 	case ConfigChanged:
 		m.configVersion = e.Version
 		m.keyedServices = e.KeyedServices
+	case SuspectsChanged:
+		m.suspectsDigest = e.Digest
 	case ServerDown:
 		m.handleServerDown(e.Instance)
 	case ServerNotice:
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -39,7 +39,7 @@
 		Seq: m.lease.seq, Term: m.doc.Term, DocumentVersion: m.version, ConfigVersion: m.configVersion,
 		PeerAddr: m.params.Addr, Zone: m.params.Zone, Tenure: m.local.generation, Verified: m.verified, Leaving: m.stopping,
 		Released: m.local.releasedSpans(), WorkMs: m.local.meanServiceMs, Echo: m.lease.echo, EchoFrom: m.lease.echoFrom,
-		Weight: m.params.Weight, OperatorAddr: m.params.OperatorAddr,
+		Weight: m.params.Weight, OperatorAddr: m.params.OperatorAddr, SuspectsDigest: m.suspectsDigest,
 	}
 	s.Limited, s.Limit = m.local.limit.named, m.local.limit.perSecond
 	if p := m.lease.promise; p.inForce(m) {
--- a/internal/gate/ended.go
+++ b/internal/gate/ended.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 
+	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/fleet"
+	"fulmarhinge/internal/quarantine"
 )
 
 const (
@@ -41,12 +45,15 @@
 	list     []brokenRequest
 	// answeredAt is when the last request that was answered had been sent.
 	answeredAt time.Time
-	checking   bool
+	// checked is closed once it is known whether the server has ended; nil if nobody
+	// is looking.
+	checked chan struct{}
 }
 
-// add records a request that was not answered. It reports whether the caller is to
-// look whether the server has ended.
-func (b *brokenRequests) add(instance fleet.Instance, r brokenRequest) (check bool) {
+// add records a request that was not answered. If its connection broke, it returns a
+// channel that is closed once it is known whether the server has ended, and whether the
+// caller is to look for that.
+func (b *brokenRequests) add(instance fleet.Instance, r brokenRequest) (checked chan struct{}, check bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.instance != instance {
@@ -56,11 +63,22 @@
 	if n := len(b.list); n > maxBrokenRequests {
 		b.list = append(b.list[:0], b.list[n-maxBrokenRequests:]...)
 	}
-	if !r.reset || b.checking {
-		return false
+	if !r.reset {
+		return nil, false
 	}
-	b.checking = true
-	return true
+	check = b.checked == nil
+	if check {
+		b.checked = make(chan struct{})
+	}
+	return b.checked, check
+}
+
+// endCheck ends the look whether the server has ended.
+func (b *brokenRequests) endCheck() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	close(b.checked)
+	b.checked = nil
 }
 
 // answered records that the server answered a request that was sent at this time.
@@ -97,25 +115,33 @@
 	return silent
 }
 
-// requestBroken records that the server has not answered a request.
-func (r *request) requestBroken(s *Server, sentAt time.Time, reset bool) {
+// requestBroken records that the server has not answered a request. If its connection
+// broke, it returns once it is known whether the server has ended.
+func (r *request) requestBroken(ctx context.Context, s *Server, sentAt time.Time, reset bool) {
 	g := r.gate
-	if g.broken.add(s.Instance, brokenRequest{request: r, sentAt: sentAt, brokenAt: time.Now(), reset: reset}) {
-		go g.checkEnded()
+	checked, check := g.broken.add(s.Instance, brokenRequest{request: r, sentAt: sentAt, brokenAt: time.Now(), reset: reset})
+	if check {
+		go g.checkEnded(s.Instance)
+	}
+	if checked == nil {
+		return
+	}
+	select {
+	case <-checked:
+	case <-ctx.Done():
 	}
 }
 
 // checkEnded looks whether the server has ended, which a refused connection shows.
-func (g *Gate) checkEnded() {
+func (g *Gate) checkEnded(instance fleet.Instance) {
+	defer g.broken.endCheck()
 	time.Sleep(breakGatherTime)
 	ctx, cancel := context.WithTimeout(context.Background(), silenceCheckTimeout)
 	defer cancel()
 	if g.client.Refuses(ctx) {
+		g.serverEnded(instance)
 		g.onConnRefused()
 	}
-	g.broken.mu.Lock()
-	g.broken.checking = false
-	g.broken.mu.Unlock()
 }
 
 // serverEnded handles the end of an instance of the server.
@@ -125,9 +151,19 @@
 		return
 	}
 	serversEnded.Inc()
-	ids := make([]string, len(requests))
+	ids, running := make([]string, len(requests)), make([]quarantine.Fingerprint, len(requests))
 	for i, r := range requests {
-		ids[i] = r.head.GetId()
+		ids[i], running[i] = r.head.GetId(), r.fingerprint()
+	}
+	number := xxhash.Sum64String(instance.ID + "/" + strconv.FormatInt(instance.StartedMs, 10))
+	suspects := g.suspects.ServerEnded(clock.Now(), number, running)
+	ends := 0
+	for _, e := range suspects {
+		ends = max(ends, len(e.Ends))
+	}
+	g.log.Warn("backend server ended while it ran requests", "server", instance.ID, "born", instance.StartedMs, "requests", ids,
+		"suspects", len(suspects), "ends", ends)
+	if len(suspects) > 0 {
+		g.onSuspects(suspects)
 	}
-	g.log.Warn("backend server ended while it ran requests", "server", instance.ID, "born", instance.StartedMs, "requests", ids)
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -14,11 +13,9 @@
 	"github.com/hashicorp/go-hclog"
 
 	"fulmarhinge/internal/admission"
-	"fulmarhinge/internal/clock"
-	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/disconnect"
 	"fulmarhinge/internal/fleet"
-	"fulmarhinge/internal/peer"
+	"fulmarhinge/internal/quarantine"
 	"fulmarhinge/internal/result"
 	"fulmarhinge/internal/stopping"
 	"fulmarhinge/internal/upstream"
@@ -86,6 +83,9 @@
 	silence     silence
 	notices     notices
 	broken      brokenRequests
+	suspects    *quarantine.Table
+	solo        soloRuns
+	onSuspects  func([]quarantine.Entry)
 	healthPath  atomic.Pointer[string]
 }
 
@@ -103,6 +103,12 @@
 	// OnConnectionRefused is called when the server's address refuses
 	// connections.
 	OnConnectionRefused func()
+	// Suspects holds the requests under which servers have ended; if nil, the gate
+	// has a table of its own.
+	Suspects *quarantine.Table
+	// OnSuspects is called with entries that have changed at this gate. It must not
+	// block; nil means that nobody is told.
+	OnSuspects func([]quarantine.Entry)
 }
 
 // New returns a gate without a server.
@@ -112,6 +118,13 @@
 		ownsKey: c.Owns, onConnRefused: c.OnConnectionRefused, changed: make(chan struct{}), loads: newLoads(), link: newLink(c.LinkMbps),
 	}
 	g.SetDrainPeriod(c.DrainPeriod)
+	g.suspects, g.onSuspects = c.Suspects, c.OnSuspects
+	if g.suspects == nil {
+		g.suspects = quarantine.New()
+	}
+	if g.onSuspects == nil {
+		g.onSuspects = func([]quarantine.Entry) {}
+	}
 	return g
 }
 
@@ -173,9 +186,11 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(responseGrace))
 	defer cancel()
 	g.adoptNotice(h.GetNotice())
+	g.adoptSuspect(h.GetSuspect())
 	r := &request{gate: g, head: h, body: body, receivedAt: receivedAt, deadline: deadline, key: parseKey(h)}
 	out, respBody := r.run(ctx)
 	g.setIDAndLoad(h, out)
+	out.Suspect = r.wireSuspect()
 	return out, respBody
 }
 
@@ -218,6 +233,8 @@
 	receivedAt time.Time
 	deadline   time.Time
 	key        int
+	print      quarantine.Fingerprint
+	hasPrint   bool
 }
 
 func refuse(c result.Code, retryAfter time.Duration) *wire.ResponseHead {
@@ -228,6 +245,9 @@
 // again if the server answered that it does not hold the key, or if the key was
 // no longer held when the request got a slot.
 func (r *request) run(ctx context.Context) (*wire.ResponseHead, []byte) {
+	if refusal := r.quarantined(); refusal != nil {
+		return refusal, nil
+	}
 	for attempt := 1; ; attempt++ {
 		server, refusal := r.awaitServer(ctx)
 		if refusal != nil {
@@ -316,19 +336,15 @@
 	if r.key != noKey && !g.holds(r.key) {
 		return refuse(result.LeaseLapsed, 0), nil, true
 	}
-	// The state of the server may have changed while the request waited for a
-	// slot.
-	if current := g.server.Load(); current == nil || current.Instance != s.Instance ||
-		!current.Ready && time.Since(current.leavingSince) > time.Duration(g.drainPeriod.Load())-drainMargin {
-		return refuse(result.Draining, 0), nil, false
-	}
-	if g.silence.isSilent() {
-		return refuse(result.BackendBusy, silenceCheckTimeout), nil, false
-	}
-	if disconnect.Gone(ctx) {
-		return refuse(result.CancelledBefore, 0), nil, false
+	if refusal := r.refusedAfterWait(ctx, s); refusal != nil {
+		return refusal, nil, false
 	}
 	expected := g.queue.ServiceTime(queued.Class)
+	end, ok := r.startSuspect()
+	if !ok {
+		return refuse(result.BackendBusy, expected), nil, false
+	}
+	defer end()
 	requestsSent.Inc()
 	resp, err := g.client.Do(ctx, r.upstreamRequest(s))
 	serviceTime = time.Since(start)
@@ -347,7 +363,7 @@
 	case err != nil:
 		out := r.unknownOutcome(ctx, err)
 		cut := isCut(result.Code(out.GetCode()))
-		r.requestBroken(s, start, !cut)
+		r.requestBroken(ctx, s, start, !cut)
 		if cut {
 			g.requestCut(start, expected)
 		}
@@ -364,6 +380,7 @@
 		}
 		return out, nil, false
 	}
+	r.answered()
 	g.loads.addServed(serviceTime)
 	out := &wire.ResponseHead{
 		Code: uint32(result.OK), Status: uint32(resp.Status), Offered: true,
@@ -374,6 +391,24 @@
 	return out, resp.Body, false
 }
 
+// refusedAfterWait returns the refusal of a request that has a slot, if what allowed it
+// has changed while it waited; else nil.
+func (r *request) refusedAfterWait(ctx context.Context, s *Server) *wire.ResponseHead {
+	g := r.gate
+	current := g.server.Load()
+	switch {
+	case current == nil, current.Instance != s.Instance,
+		!current.Ready && time.Since(current.leavingSince) > time.Duration(g.drainPeriod.Load())-drainMargin:
+		return refuse(result.Draining, 0)
+	case g.silence.isSilent():
+		return refuse(result.BackendBusy, silenceCheckTimeout)
+	case disconnect.Gone(ctx):
+		return refuse(result.CancelledBefore, 0)
+	default:
+		return r.quarantined()
+	}
+}
+
 const statusMisdirected = 421
 
 // unknownOutcome returns the response for a request that was sent and got no
@@ -407,74 +442,3 @@
 	}
 	return out
 }
-
-// doRemote is Do for a request of another node. Large responses are paced to
-// the bandwidth of the link.
-func (g *Gate) doRemote(
-	ctx context.Context, h *wire.RequestHead, body []byte, timeLeft time.Duration,
-) (*wire.ResponseHead, []byte) {
-	if timeLeft <= 0 {
-		out := refuse(result.DeadlineBefore, 0)
-		g.setIDAndLoad(h, out)
-		return out, nil
-	}
-	if !h.GetBulk() {
-		return g.Do(ctx, h, body)
-	}
-	maxWait := time.Duration(h.GetTargetMs()) * time.Millisecond
-	if maxWait <= maxLateBulkWait {
-		// A request that can no longer meet its target gets only bandwidth that
-		// the others leave free.
-		maxWait = min(maxLateBulkWait, timeLeft/2)
-	}
-	reserved, ok := g.link.reserve(time.Now(), maxWait)
-	if !ok {
-		out := refuse(result.BackendBusy, g.link.predictedWait(time.Now())-maxWait)
-		g.setIDAndLoad(h, out)
-		return out, nil
-	}
-	out, respBody := g.Do(ctx, h, body)
-	g.link.replaceReservation(reserved, len(respBody))
-	return out, respBody
-}
-
-// ServeStream serves one request of a peer.
-func (g *Gate) ServeStream(ctx context.Context, from cluster.MemberRef, conn net.Conn) {
-	_ = conn.SetReadDeadline(time.Now().Add(requestReadTimeout))
-	h := &wire.RequestHead{}
-	body, err := peer.ReadUnary(conn, h, h.GetContentLength)
-	if err != nil {
-		g.log.Warn("failed to read the request of a peer", "from", from, "error", err)
-		return
-	}
-	// Delay in transit beyond the usual is subtracted from the remaining time.
-	delay := g.delays.excess(from, time.Duration(h.GetSentUs())*time.Microsecond, time.Duration(clock.Now()))
-	timeLeft := time.Duration(h.GetDeadlineMs())*time.Millisecond - delay
-	h.DeadlineMs = uint64(max(timeLeft.Milliseconds(), 0))
-	h.TargetMs -= delay.Milliseconds()
-	deadline := time.Now().Add(max(timeLeft, 0) + responseGrace)
-	_ = conn.SetDeadline(deadline.Add(time.Second))
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		// The peer sends nothing after the request, so the read returns when it
-		// disconnects.
-		var one [1]byte
-		_, _ = conn.Read(one[:])
-		cancel()
-	}()
-	if delay > disconnectCheckMinDelay && !disconnect.StillConnected(ctx) {
-		return
-	}
-	out, respBody := g.doRemote(ctx, h, body, timeLeft)
-	if h.GetBulk() && len(respBody) > 0 {
-		err = g.link.send(ctx, func() error {
-			return peer.WritePaced(conn, out, respBody, func(n int) error { return g.link.pace(ctx, n) })
-		})
-	} else {
-		err = peer.WriteUnary(conn, out, respBody)
-	}
-	if err != nil && ctx.Err() == nil {
-		g.log.Warn("response not sent to the peer", "from", from, "request", h.GetId(), "error", err)
-	}
-}
--- /dev/null
+++ b/internal/gate/stream.go
@@ -0,0 +1,85 @@
+package gate
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"fulmarhinge/internal/clock"
+	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/disconnect"
+	"fulmarhinge/internal/peer"
+	"fulmarhinge/internal/result"
+	"fulmarhinge/internal/wire"
+)
+
+// doRemote is Do for a request of another node. Large responses are paced to
+// the bandwidth of the link.
+func (g *Gate) doRemote(
+	ctx context.Context, h *wire.RequestHead, body []byte, timeLeft time.Duration,
+) (*wire.ResponseHead, []byte) {
+	if timeLeft <= 0 {
+		out := refuse(result.DeadlineBefore, 0)
+		g.setIDAndLoad(h, out)
+		return out, nil
+	}
+	if !h.GetBulk() {
+		return g.Do(ctx, h, body)
+	}
+	maxWait := time.Duration(h.GetTargetMs()) * time.Millisecond
+	if maxWait <= maxLateBulkWait {
+		// A request that can no longer meet its target gets only bandwidth that
+		// the others leave free.
+		maxWait = min(maxLateBulkWait, timeLeft/2)
+	}
+	reserved, ok := g.link.reserve(time.Now(), maxWait)
+	if !ok {
+		out := refuse(result.BackendBusy, g.link.predictedWait(time.Now())-maxWait)
+		g.setIDAndLoad(h, out)
+		return out, nil
+	}
+	out, respBody := g.Do(ctx, h, body)
+	g.link.replaceReservation(reserved, len(respBody))
+	return out, respBody
+}
+
+// ServeStream serves one request of a peer.
+func (g *Gate) ServeStream(ctx context.Context, from cluster.MemberRef, conn net.Conn) {
+	_ = conn.SetReadDeadline(time.Now().Add(requestReadTimeout))
+	h := &wire.RequestHead{}
+	body, err := peer.ReadUnary(conn, h, h.GetContentLength)
+	if err != nil {
+		g.log.Warn("failed to read the request of a peer", "from", from, "error", err)
+		return
+	}
+	// Delay in transit beyond the usual is subtracted from the remaining time.
+	delay := g.delays.excess(from, time.Duration(h.GetSentUs())*time.Microsecond, time.Duration(clock.Now()))
+	timeLeft := time.Duration(h.GetDeadlineMs())*time.Millisecond - delay
+	h.DeadlineMs = uint64(max(timeLeft.Milliseconds(), 0))
+	h.TargetMs -= delay.Milliseconds()
+	deadline := time.Now().Add(max(timeLeft, 0) + responseGrace)
+	_ = conn.SetDeadline(deadline.Add(time.Second))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		// The peer sends nothing after the request, so the read returns when it
+		// disconnects.
+		var one [1]byte
+		_, _ = conn.Read(one[:])
+		cancel()
+	}()
+	if delay > disconnectCheckMinDelay && !disconnect.StillConnected(ctx) {
+		return
+	}
+	out, respBody := g.doRemote(ctx, h, body, timeLeft)
+	if h.GetBulk() && len(respBody) > 0 {
+		err = g.link.send(ctx, func() error {
+			return peer.WritePaced(conn, out, respBody, func(n int) error { return g.link.pace(ctx, n) })
+		})
+	} else {
+		err = peer.WriteUnary(conn, out, respBody)
+	}
+	if err != nil && ctx.Err() == nil {
+		g.log.Warn("response not sent to the peer", "from", from, "request", h.GetId(), "error", err)
+	}
+}
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -15,6 +15,7 @@
 	"fulmarhinge/internal/header"
 	"fulmarhinge/internal/peer"
 	"fulmarhinge/internal/platform"
+	"fulmarhinge/internal/quarantine"
 	"fulmarhinge/internal/result"
 	"fulmarhinge/internal/route"
 	"fulmarhinge/internal/wire"
@@ -64,6 +65,8 @@
 	// unknownOutcome is the last response after which the request may have run.
 	unknownOutcome *wire.ResponseHead
 	targetNode     string
+	print          quarantine.Fingerprint
+	hasPrint       bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -131,6 +134,9 @@
 		s.reqMetrics.callerGone.Inc()
 		return refusal(result.CancelledBefore, 0), nil
 	}
+	if refused := q.quarantined(); refused != nil {
+		return refused, nil
+	}
 	q.forwardHeaders()
 	s.budget.addRequest(q.received, q.service)
 	return q.dispatch()
@@ -209,7 +215,7 @@
 	case result.BackendShed, result.StaleFence:
 		return q.offers < q.route.MaxAttempts && q.takeRetry()
 	case result.AnswerCut, result.OwnerLost:
-		return q.route.Idempotent && q.offers < q.route.MaxAttempts && q.takeRetry()
+		return q.route.Idempotent && q.offers < q.route.MaxAttempts && q.mayRepeat() && q.takeRetry()
 	default:
 		return false
 	}
@@ -252,7 +258,7 @@
 	if v == nil {
 		return nil
 	}
-	return q.server.notices.withoutLeaving(v.readyMembers[q.service])
+	return q.suspectCandidates(q.server.notices.withoutLeaving(v.readyMembers[q.service]))
 }
 
 // attempt makes one attempt to send the request to a node.
@@ -271,7 +277,10 @@
 		return q.send(ctx, m)
 	}
 	m := s.picker.pick(time.Now(), q.candidates(), q.triedMembers, q.route.Bulk)
-	if m == nil {
+	switch {
+	case m == nil && q.suspected():
+		return refusal(result.BackendBusy, 0), nil
+	case m == nil:
 		return refusal(result.BackendNotReady, 0), nil
 	}
 	h, body := q.send(ctx, m)
@@ -304,7 +313,7 @@
 		DeadlineMs: uint64(max(1, q.deadline.Sub(now).Milliseconds())), ContentLength: int64(len(q.body)),
 		Priority: uint32(q.route.Priority), TargetMs: q.received.Add(q.route.TargetLatency - q.age).Sub(now).Milliseconds(),
 		Idempotent: q.route.Idempotent, Bulk: q.route.Bulk, SentUs: int64(clock.Now()) / int64(time.Microsecond),
-		Notice: q.server.notices.wire(now, m),
+		Notice: q.server.notices.wire(now, m), Suspect: q.suspect(),
 	}
 	var h *wire.ResponseHead
 	var body []byte
@@ -314,6 +323,7 @@
 		h, body = q.sendRemote(ctx, m, head)
 	}
 	q.server.notices.record(time.Now(), m.Name, h)
+	q.adoptSuspect(h.GetSuspect())
 	return h, body
 }
 
@@ -447,6 +457,10 @@
 func (q *request) retryAfter(h *wire.ResponseHead) string {
 	after := time.Duration(h.GetRetryAfterMs()) * time.Millisecond
 	after = max(after, minRetryAfter)
+	if result.Code(h.GetCode()) == result.Quarantined {
+		// It is refused as well if it comes again sooner.
+		return strconv.FormatFloat(after.Seconds(), 'f', 0, 64)
+	}
 	if left := time.Until(q.deadline); left > 0 {
 		after = min(after, left/retryAfterDivisor)
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -16,6 +16,7 @@
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/disconnect"
 	"fulmarhinge/internal/fleet"
+	"fulmarhinge/internal/quarantine"
 	"fulmarhinge/internal/route"
 	"fulmarhinge/internal/stopping"
 	"fulmarhinge/internal/wire"
@@ -53,7 +54,10 @@
 	Headers Headers
 	Gate    Gate
 	Peers   Peers
-	Logger  hclog.Logger
+	// Suspects holds the requests under which backend servers have ended; if nil, the
+	// server has a table of its own.
+	Suspects *quarantine.Table
+	Logger   hclog.Logger
 	// Decisions receives the log lines on requests; this package limits their rate.
 	Decisions hclog.Logger
 }
@@ -113,6 +117,9 @@
 			http.CanonicalHeaderKey(cfg.Headers.Instance): true,
 		},
 	}
+	if s.cfg.Suspects == nil {
+		s.cfg.Suspects = quarantine.New()
+	}
 	s.http = &http.Server{
 		Handler: s, ConnContext: disconnect.WithConn, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -24,6 +24,7 @@
 	StaleFence           Code = 2106
 	BackendBusy          Code = 2107
 	BackendUnreachable   Code = 2108
+	Quarantined          Code = 2109
 	OverContract         Code = 2201
 	WaitingFull          Code = 2202
 	DeadlineBefore       Code = 2203
@@ -81,6 +82,7 @@
 	{StaleFence, "stale fence", NotRun, http.StatusServiceUnavailable, true, "The backend server refused an outdated epoch or lease."},
 	{BackendBusy, "backend busy", NotRun, http.StatusServiceUnavailable, true, "No slot of the backend server became free in time."},
 	{BackendUnreachable, "backend unreachable", NotRun, http.StatusBadGateway, true, "No connection to the backend server could be made, or nothing was written to it."},
+	{Quarantined, "quarantined", NotRun, http.StatusServiceUnavailable, true, "Several backend servers ended while they ran this request, so it is sent to no more of them."},
 
 	{OverContract, "over contract", NotRun, http.StatusTooManyRequests, true, "The customer is above the load of its contract."},
 	{WaitingFull, "waiting full", NotRun, http.StatusTooManyRequests, true, "As many requests of the customer wait as its contract allows."},
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -234,6 +234,7 @@
 		spans, meanWork := l.node.gate.Sample()
 		l.node.machine.Step(clock.Now(), fleet.LoadSampled{Spans: spans, MeanServiceTime: meanWork})
 		l.node.ingress.Flush()
+		l.node.machine.Step(clock.Now(), fleet.SuspectsChanged{Digest: l.node.suspects.Digest(clock.Now())})
 	}
 	if notice := l.node.gate.Notice(); notice != l.lastNotice || notice.Limited || notice.Leaving {
 		l.lastNotice = notice
@@ -293,6 +294,9 @@
 	for _, d := range r.Configs {
 		n.config.syncPeer(d)
 	}
+	for _, addr := range r.Suspects {
+		n.spreader.syncPeer(addr)
+	}
 	if r.Read {
 		go l.readDocument(ctx)
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -24,6 +24,7 @@
 	"fulmarhinge/internal/operator"
 	"fulmarhinge/internal/peer"
 	"fulmarhinge/internal/platform"
+	"fulmarhinge/internal/quarantine"
 	"fulmarhinge/internal/route"
 	"fulmarhinge/internal/stopping"
 	"fulmarhinge/internal/timeline"
@@ -74,6 +75,8 @@
 	gate      *gate.Gate
 	ingress   *ingress.Server
 	config    *configWatcher
+	suspects  *quarantine.Table
+	spreader  *suspectSpreader
 	view      atomic.Pointer[ingress.View]
 	gauges    gauges
 	metrics   *metrics.Set
@@ -138,19 +141,22 @@
 	timing := fleet.DefaultTiming()
 	timing.MaxHold = secondsToDuration(s.Bounds.MaxHoldSeconds)
 	n.machine = fleet.New(clock.Now(), fleet.Params{
-		Self: n.self, Addr: s.Listen.peerAddress(), Zone: s.Zone, Weight: s.Resources.CPUShare * s.Resources.LinkMbps, LinkMbps: s.Resources.LinkMbps,
+		Self: n.self, Addr: s.Listen.peerAddress(), Zone: s.Zone, Weight: s.Resources.CPUShare * s.Resources.LinkMbps,
+		LinkMbps:     s.Resources.LinkMbps,
 		OperatorAddr: s.Listen.Metrics, Nonce: fmt.Sprintf("%x", now.UnixNano()), Timing: timing, NewFleet: s.Platform.NewFleet,
 	})
 	n.loop = newControlLoop(n)
+	n.suspects, n.spreader = quarantine.New(), newSuspectSpreader(n)
 	n.client = upstream.NewClient(s.BackendAddress, adapter.ServerHeaders)
 	n.gate = gate.New(gate.Config{Client: n.client, Logger: log, Owns: n.owns, OnConnectionRefused: n.loop.notifyBackendDown,
-		LinkMbps: s.Resources.LinkMbps, DrainPeriod: secondsToDuration(s.Bounds.DrainSeconds)})
+		LinkMbps: s.Resources.LinkMbps, DrainPeriod: secondsToDuration(s.Bounds.DrainSeconds),
+		Suspects: n.suspects, OnSuspects: n.spreader.spread})
 	n.transport = peer.New(peer.Config{
 		Fleet: "fleet", Self: n.self, Listen: s.Listen.Peers, DialFrom: s.Listen.PeersFrom, Logger: log,
 	}, n.handleControl, n.gate.ServeStream)
 	n.ingress = ingress.New(ingress.Config{
 		Self: n.self, Zone: s.Zone, Service: s.Service, Headers: adapter.CallerHeaders, Gate: n.gate, Peers: n.transport, Logger: log,
-		Decisions: decisions,
+		Decisions: decisions, Suspects: n.suspects,
 	})
 	n.ingress.SetServedSampling(s.Log.ServedOneIn)
 	n.config = newConfigWatcher(n)
@@ -170,7 +176,7 @@
 }
 
 func (n *Node) handleControl(from cluster.MemberRef, m *wire.Control) {
-	if n.config.handleMessage(from, m) {
+	if n.config.handleMessage(from, m) || n.spreader.handleMessage(from, m) {
 		return
 	}
 	n.loop.enqueueMessage(from, m)
