fleet: requests that are refused for ended servers are stored in the fleet document

Callers saw: after a loss of all nodes the same request ends three more servers.

Cause: what nodes know of such requests is in their memory alone.

Change: the leader stores those that are refused, up to 32, once it knows what the document held when it started; a node takes them over with its first document.

--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"slices"
+
 	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/quarantine"
 	"fulmarhinge/internal/wire"
 )
 
@@ -13,6 +16,9 @@
 		LeaderIncarnation: to.Leader.Incarnation, Resigned: to.Resigned, Heir: to.Successor, Settled: to.EarlierLeasesExpired,
 		LastEpoch: to.LastEpoch, ChangeId: to.ChangeID, Recovered: to.Recovered,
 	}
+	if !slices.EqualFunc(from.Quarantined, to.Quarantined, quarantine.Entry.Equal) {
+		out.Suspects = quarantine.WireAll(to.Quarantined, true)
+	}
 	for _, name := range to.names() {
 		if old := from.Members[name]; old == nil || !sameMember(old, to.Members[name]) {
 			out.Members = append(out.Members, encodeMember(to.Members[name]))
@@ -75,6 +81,9 @@
 	d.Term, d.Resigned, d.Successor, d.EarlierLeasesExpired = c.GetTerm(), c.GetResigned(), c.GetHeir(), c.GetSettled()
 	d.Leader = cluster.MemberRef{Name: c.GetLeader(), Incarnation: c.GetLeaderIncarnation()}
 	d.LastEpoch, d.ChangeID, d.Recovered = c.GetLastEpoch(), c.GetChangeId(), c.GetRecovered()
+	if s := c.GetSuspects(); s != nil {
+		d.Quarantined = quarantine.FromWire(s.GetSuspects()...)
+	}
 	for _, m := range c.GetMembers() {
 		if m.GetName() == "" || !isAmount(m.GetWeight()) {
 			return nil, ErrMalformed.New("member %q of weight %v", m.GetName(), m.GetWeight())
--- a/internal/fleet/change_test.go
+++ b/internal/fleet/change_test.go
@@ -11,6 +11,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/quarantine"
 )
 
 // randomDocument returns a random document, or a random modification of the
@@ -24,6 +25,12 @@
 	d.Leader = cluster.MemberRef{Name: fmt.Sprint("n", rng.Intn(4)), Incarnation: uint64(rng.Intn(9))}
 	d.Resigned, d.EarlierLeasesExpired = rng.Intn(2) == 0, rng.Intn(2) == 0
 	d.ChangeID = fmt.Sprint(rng.Int())
+	d.Quarantined = nil
+	for i := range rng.Intn(3) {
+		d.Quarantined = append(d.Quarantined, quarantine.Entry{
+			Fingerprint: quarantine.Fingerprint{byte(i)}, Clears: uint32(rng.Intn(3)), Ends: []uint64{rng.Uint64(), rng.Uint64()},
+		})
+	}
 	names := []string{""}
 	for i := range 2 + rng.Intn(5) {
 		name := fmt.Sprint("n", i)
--- a/internal/fleet/document.go
+++ b/internal/fleet/document.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/errs"
 
 	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/quarantine"
 )
 
 // ErrMalformed is the class of errors of a fleet document or change that cannot
@@ -126,6 +127,9 @@
 	Members   map[string]*Member
 	Tables    map[string]Table
 	LastEpoch uint64
+	// Quarantined holds the requests that are refused because backend servers ended
+	// under them, so that this is known after a loss of all nodes.
+	Quarantined []quarantine.Entry
 	// ChangeID identifies the write that made this version.
 	ChangeID string
 }
@@ -197,6 +201,7 @@
 	Members   []*Member              `json:"members"`
 	Tables    map[string][]storedRow `json:"tables"`
 	LastEpoch uint64                 `json:"last_epoch"`
+	Suspects  []quarantine.Entry     `json:"suspects,omitempty"`
 	ChangeID  string                 `json:"change_id"`
 }
 
@@ -211,7 +216,7 @@
 func (d *Document) Encode() []byte {
 	out := storedDocument{
 		Term: d.Term, Leader: d.Leader, Resigned: d.Resigned, Heir: d.Successor, Settled: d.EarlierLeasesExpired,
-		Recovered: d.Recovered, LastEpoch: d.LastEpoch, ChangeID: d.ChangeID,
+		Recovered: d.Recovered, LastEpoch: d.LastEpoch, ChangeID: d.ChangeID, Suspects: d.Quarantined,
 		Tables: map[string][]storedRow{},
 	}
 	index := map[string]int{"": noMember}
@@ -255,7 +260,7 @@
 	}
 	d := &Document{
 		Term: in.Term, Leader: in.Leader, Resigned: in.Resigned, Successor: in.Heir, EarlierLeasesExpired: in.Settled,
-		Recovered: in.Recovered, LastEpoch: in.LastEpoch, ChangeID: in.ChangeID,
+		Recovered: in.Recovered, LastEpoch: in.LastEpoch, ChangeID: in.ChangeID, Quarantined: in.Suspects,
 		Members: make(map[string]*Member, len(in.Members)), Tables: make(map[string]Table, len(in.Tables)),
 	}
 	names := make([]string, len(in.Members))
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -14,6 +14,7 @@
 	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/platform"
+	"fulmarhinge/internal/quarantine"
 	"fulmarhinge/internal/wire"
 )
 
@@ -133,6 +134,10 @@
 	// suspectsDigest is the digest of what this node knows of requests under which
 	// backend servers have ended.
 	suspectsDigest uint64
+	// quarantined holds the requests that are refused for that, to be stored;
+	// quarantineKnown is false while that may not be all of them.
+	quarantined     []quarantine.Entry
+	quarantineKnown bool
 	// configStandby is true if this node watches the configuration although it
 	// is not the leader.
 	configStandby bool
@@ -262,8 +267,13 @@
 		KeyedServices map[string]bool
 	}
 	// SuspectsChanged reports the digest of what this node knows of requests under
-	// which backend servers have ended.
-	SuspectsChanged struct{ Digest uint64 }
+	// which backend servers have ended, and those that are refused. Complete is true
+	// once this node also knows what the first document that it had contains.
+	SuspectsChanged struct {
+		Digest   uint64
+		Refused  []quarantine.Entry
+		Complete bool
+	}
 	// ServerDown reports that the backend server's address refuses connections,
 	// so its process has ended.
 	ServerDown struct{ Instance Instance }
@@ -349,7 +359,7 @@
 		m.configVersion = e.Version
 		m.keyedServices = e.KeyedServices
 	case SuspectsChanged:
-		m.suspectsDigest = e.Digest
+		m.suspectsDigest, m.quarantined, m.quarantineKnown = e.Digest, e.Refused, e.Complete
 	case ServerDown:
 		m.handleServerDown(e.Instance)
 	case ServerNotice:
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -4,9 +4,12 @@
 package quarantine
 
 import (
+	"bytes"
 	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,6 +35,8 @@
 	clearedTime = time.Minute
 	// maxRequests bounds the table. Requests with the fewest and oldest ends go first.
 	maxRequests = 2048
+	// maxStored bounds the requests that are stored beyond the processes' lives.
+	maxStored = 32
 	// maxKeptEnds bounds the servers that are kept for a request: those with the lowest
 	// numbers, so that merged tables agree.
 	maxKeptEnds = 8
@@ -53,16 +58,34 @@
 	return Fingerprint(h.Sum(nil)[:len(Fingerprint{})])
 }
 
-// Entry is what is known of one request, in the form that nodes exchange.
+// MarshalText returns the fingerprint in hexadecimal digits.
+func (f Fingerprint) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, f[:]), nil }
+
+// UnmarshalText decodes what MarshalText returns.
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	if hex.DecodedLen(len(text)) != len(f) {
+		return fmt.Errorf("fingerprint of %d digits", len(text))
+	}
+	_, err := hex.Decode(f[:], text)
+	return err
+}
+
+// Entry is what is known of one request, in the form that nodes exchange and store.
 type Entry struct {
-	Fingerprint Fingerprint
+	Fingerprint Fingerprint `json:"f"`
 	// Clears counts how often the request was answered after a server had ended
 	// under it. Each time the ends before are dropped.
-	Clears uint32
+	Clears uint32 `json:"n,omitempty"`
 	// Ends identifies the server instances that ended since, in ascending order.
-	Ends []uint64
-	// Age is how long ago the last of them ended or the request was answered.
-	Age time.Duration
+	Ends []uint64 `json:"e,omitempty"`
+	// Age is how long ago the last of them ended or the request was answered. It is
+	// not stored.
+	Age time.Duration `json:"-"`
+}
+
+// Equal reports whether two entries state the same, whatever their age.
+func (e Entry) Equal(other Entry) bool {
+	return e.Fingerprint == other.Fingerprint && e.Clears == other.Clears && slices.Equal(e.Ends, other.Ends)
 }
 
 // record is an Entry with the time of its last change.
@@ -262,10 +285,34 @@
 	for f, r := range t.records {
 		out = append(out, r.entry(now, f))
 	}
-	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(string(a.Fingerprint[:]), string(b.Fingerprint[:])) })
+	slices.SortFunc(out, compareFingerprints)
 	return out
 }
 
+// RefusedEntries returns the requests that are refused now, at most maxStored of them,
+// in a fixed order and without their age: the part that is stored.
+func (t *Table) RefusedEntries(now clock.Mono) []Entry {
+	var out []Entry
+	for _, e := range t.Entries(now) {
+		if len(e.Ends) >= maxEnds {
+			out = append(out, e)
+		}
+	}
+	if len(out) > maxStored {
+		slices.SortStableFunc(out, func(a, b Entry) int { return cmp.Compare(a.Age, b.Age) })
+		out = out[:maxStored]
+		slices.SortFunc(out, compareFingerprints)
+	}
+	for i := range out {
+		out[i].Age = 0
+	}
+	return out
+}
+
+func compareFingerprints(a, b Entry) int {
+	return bytes.Compare(a.Fingerprint[:], b.Fingerprint[:])
+}
+
 // Digest returns a number that is equal for tables with the same ends; 0 without any.
 func (t *Table) Digest(now clock.Mono) uint64 {
 	t.mu.Lock()
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -57,6 +57,8 @@
 	handovers     handoverTimer
 	// platformLost is true while reads and writes of the fleet document fail.
 	platformLost bool
+	// suspectsLoaded is true once the suspects of the first document are known.
+	suspectsLoaded bool
 }
 
 func newControlLoop(n *Node) *controlLoop {
@@ -234,7 +236,7 @@
 		spans, meanWork := l.node.gate.Sample()
 		l.node.machine.Step(clock.Now(), fleet.LoadSampled{Spans: spans, MeanServiceTime: meanWork})
 		l.node.ingress.Flush()
-		l.node.machine.Step(clock.Now(), fleet.SuspectsChanged{Digest: l.node.suspects.Digest(clock.Now())})
+		l.stepSuspects()
 	}
 	if notice := l.node.gate.Notice(); notice != l.lastNotice || notice.Limited || notice.Leaving {
 		l.lastNotice = notice
@@ -244,6 +246,15 @@
 	l.node.machine.Step(clock.Now(), fleet.Tick{})
 }
 
+// stepSuspects passes what is known of requests under which backend servers have ended
+// to the state machine.
+func (l *controlLoop) stepSuspects() {
+	now, table := clock.Now(), l.node.suspects
+	l.node.machine.Step(now, fleet.SuspectsChanged{
+		Digest: table.Digest(now), Refused: table.RefusedEntries(now), Complete: l.suspectsLoaded,
+	})
+}
+
 // probeBackend connects to a backend server that has stopped reporting: a refused
 // connection means that its process has ended.
 func (l *controlLoop) probeBackend(now time.Time) {
@@ -272,6 +283,10 @@
 		n.gate.SetHeld(r.Held)
 	}
 	if r.Document != nil {
+		if !l.suspectsLoaded {
+			n.suspects.Merge(clock.Now(), r.Document.Quarantined)
+			l.suspectsLoaded = true
+		}
 		v := ingress.NewView(r.Document, r.Version)
 		n.view.Store(v)
 		n.ingress.SetView(v)
