sidecar: a configuration is not sent again while it may still be on its way

Members that do not have the newest configuration yet were sent the whole of it again with each status, from 0.4 s after the change on, however long the first copies take over the leader's link.

Change: the next copy to a member waits for as long as copies to all members take over half of the link. The whole tables of suspects use the same record of deliveries.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -19,6 +19,9 @@
 	// spreadTime is how long a change may take to reach a member before it is sent to
 	// the member again.
 	spreadTime = 400 * time.Millisecond
+	// configLinkShare is the part of the VM's link that a configuration on its way to
+	// all members is taken to have.
+	configLinkShare = 0.5
 	// leaderPollInterval is the interval at which the leader reads the
 	// configuration, in case no watch delivers changes any more.
 	leaderPollInterval = 1200 * time.Millisecond
@@ -38,6 +41,8 @@
 	seen uint64
 	// appliedAt is the time at which the configuration was applied.
 	appliedAt time.Time
+	// deliveries holds when members were last sent the configuration.
+	deliveries deliveries
 	// modeChanged is signalled when the node begins or ceases to watch the platform.
 	modeChanged chan struct{}
 }
@@ -153,8 +158,9 @@
 		}
 		return
 	}
+	w.deliveries.reset(deliveryTime(len(w.value), len(v.Doc.Members), w.node.settings.Load().Resources.LinkMbps))
 	for name, mem := range v.Doc.Members {
-		if name != w.node.self.Name && !mem.Evicted {
+		if name != w.node.self.Name && !mem.Evicted && w.deliveries.due(time.Now(), mem.Addr) {
 			w.node.transport.Send(mem.Addr, w.objectMessage(w.config.Version, w.value))
 		}
 	}
@@ -241,7 +247,7 @@
 	version, value, appliedAt := w.active()
 	switch {
 	case time.Since(appliedAt) < spreadTime:
-	case d.Version < version:
+	case d.Version < version && w.deliveries.due(time.Now(), d.Addr):
 		w.node.transport.Send(d.Addr, w.objectMessage(version, value))
 	case d.Version > version:
 		w.node.transport.Send(d.Addr, w.versionMessage(version))
--- a/internal/sidecar/suspects.go
+++ b/internal/sidecar/suspects.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"sync"
 	"time"
 
 	"fulmarhinge/internal/clock"
@@ -18,13 +17,12 @@
 // leader also compares digests with each status, so that a restarted member learns all.
 type suspectSpreader struct {
 	node *Node
-	mu   sync.Mutex
-	// sentAt is when each address was last sent the whole table.
-	sentAt map[string]time.Time
+	// tables holds when each address was last sent the whole table.
+	tables deliveries
 }
 
 func newSuspectSpreader(n *Node) *suspectSpreader {
-	return &suspectSpreader{node: n, sentAt: map[string]time.Time{}}
+	return &suspectSpreader{node: n, tables: deliveries{interval: suspectSyncInterval}}
 }
 
 // spread sends changed entries on: the leader to all members, another node to the leader.
@@ -48,19 +46,7 @@
 
 // syncPeer sends a peer the whole table.
 func (s *suspectSpreader) syncPeer(addr string) {
-	s.mu.Lock()
-	now := time.Now()
-	due := now.Sub(s.sentAt[addr]) >= suspectSyncInterval
-	if due {
-		s.sentAt[addr] = now
-	}
-	for a, at := range s.sentAt {
-		if now.Sub(at) > suspectSyncInterval {
-			delete(s.sentAt, a)
-		}
-	}
-	s.mu.Unlock()
-	if due {
+	if s.tables.due(time.Now(), addr) {
 		s.send(addr, s.node.suspects.Entries(clock.Now()), true)
 	}
 }
