Soak: requests that end each backend that runs them

A fault of the soak sends one deadly request to all machines in turn, beside the other faults; a request may run at most three times later than 3 s after the third backend has ended under it.

--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -31,6 +31,8 @@
 	highestGeneration [maxKey + 1]uint64
 	lastHolder        [maxKey + 1]string
 	statements        statements
+	// deadlyRuns holds when each deadly request began to run.
+	deadlyRuns map[string][]time.Time
 }
 
 // holder is one instance of a backend, from start to stop, and the rows that it
@@ -44,7 +46,8 @@
 func newChecker() *checker {
 	return &checker{
 		started: time.Now(), arrivals: map[string]int{}, executions: map[string]int{}, nonIdempotent: map[string]bool{},
-		refused: map[string]int{}, statuses: map[string]int{}, holders: map[string]*holder{}, statements: newStatements(),
+		deadlyRuns: map[string][]time.Time{},
+		refused:    map[string]int{}, statuses: map[string]int{}, holders: map[string]*holder{}, statements: newStatements(),
 	}
 }
 
@@ -75,6 +78,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.executions[id]++
+	if n := deadlyRequest(id); n != "" {
+		c.deadlyRuns[n] = append(c.deadlyRuns[n], time.Now())
+	}
 	if c.executions[id] > 1 && c.nonIdempotent[id] {
 		c.addViolation("non-idempotent request %s ran again at %s", id, backend)
 	}
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -69,6 +69,8 @@
 	// configRevision is the number of the newest configuration.
 	configRevision atomic.Int64
 	metricsClient  *http.Client
+	// deadlySent counts the deadly requests of the faults.
+	deadlySent int
 }
 
 func newFleet(t *testing.T, seed int64, machines int) *fleet {
@@ -154,6 +156,7 @@
 	m.backend = standin.NewBackend(standin.BackendOptions{
 		ID: "i-" + name, Service: service, Keyed: service == "keyed", Slots: 8, Listen: backend, Address: m.settings.BackendAddress,
 		Reports: reportTarget, Period: time.Duration(reportPeriodSeconds * float64(time.Second)), SlowPercent: 2,
+		DeadlyPrefix: deadlyPath, RestartAfter: 700 * time.Millisecond,
 		Work: 20 * time.Millisecond, Observer: f.checker, Logger: hclog.NewNullLogger(),
 	})
 	b, err := json.Marshal(m.settings)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -124,6 +124,7 @@
 	close(stop)
 	callers.Wait()
 	f.checker.checkRetryBudget(retryRatio, retryExtraPerWindow, retryWindowSeconds)
+	f.checker.checkDeadly()
 	f.stop()
 
 	t.Logf("seed %d: outcomes by status %v", seed, f.checker.statuses)
