gate: broken answers that are no end of a connection do not wait for the server's end

Cause: found on reading the diff. Each answer that could not be used waited 20 ms and opened a connection to see whether the server had ended, also one that was only garbled; and up to 256 requests were kept with their bodies, where their ids and fingerprints are enough.

Change: only the end of a connection makes the gate look, for 0.1 s at most; ids and fingerprints are kept.

--- a/internal/gate/ended.go
+++ b/internal/gate/ended.go
@@ -21,6 +21,8 @@
 	// breakGatherTime is how long the gate waits after a broken connection before it
 	// looks whether the server has ended: all its connections break then.
 	breakGatherTime = 20 * time.Millisecond
+	// endCheckTimeout bounds that look; the server is on the same VM.
+	endCheckTimeout = 100 * time.Millisecond
 	// maxBrokenRequests bounds the requests that are kept until the server's end is
 	// known or it has answered.
 	maxBrokenRequests = 256
@@ -30,7 +32,8 @@
 
 // brokenRequest is a request that the server has not answered.
 type brokenRequest struct {
-	request  *request
+	id       string
+	print    quarantine.Fingerprint
 	sentAt   time.Time
 	brokenAt time.Time
 	// reset is true if its connection broke, and false if this side gave it up.
@@ -92,20 +95,20 @@
 
 // take returns the requests under which an instance has ended: those whose connections
 // broke or, if it fell silent, those that were given up since it last answered.
-func (b *brokenRequests) take(instance fleet.Instance, now time.Time) []*request {
+func (b *brokenRequests) take(instance fleet.Instance, now time.Time) []brokenRequest {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.instance != instance {
 		return nil
 	}
-	var reset, silent []*request
+	var reset, silent []brokenRequest
 	for _, r := range b.list {
 		switch {
 		case now.Sub(r.brokenAt) > endedWindow:
 		case r.reset:
-			reset = append(reset, r.request)
+			reset = append(reset, r)
 		case r.sentAt.After(b.answeredAt):
-			silent = append(silent, r.request)
+			silent = append(silent, r)
 		}
 	}
 	b.list = nil
@@ -119,7 +122,9 @@
 // broke, it returns once it is known whether the server has ended.
 func (r *request) requestBroken(ctx context.Context, s *Server, sentAt time.Time, reset bool) {
 	g := r.gate
-	checked, check := g.broken.add(s.Instance, brokenRequest{request: r, sentAt: sentAt, brokenAt: time.Now(), reset: reset})
+	checked, check := g.broken.add(s.Instance, brokenRequest{
+		id: r.head.GetId(), print: r.fingerprint(), sentAt: sentAt, brokenAt: time.Now(), reset: reset,
+	})
 	if check {
 		go g.checkEnded(s.Instance)
 	}
@@ -136,7 +141,7 @@
 func (g *Gate) checkEnded(instance fleet.Instance) {
 	defer g.broken.endCheck()
 	time.Sleep(breakGatherTime)
-	ctx, cancel := context.WithTimeout(context.Background(), silenceCheckTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 	defer cancel()
 	if g.client.Refuses(ctx) {
 		g.serverEnded(instance)
@@ -153,7 +158,7 @@
 	serversEnded.Inc()
 	ids, running := make([]string, len(requests)), make([]quarantine.Fingerprint, len(requests))
 	for i, r := range requests {
-		ids[i], running[i] = r.head.GetId(), r.fingerprint()
+		ids[i], running[i] = r.id, r.print
 	}
 	number := xxhash.Sum64String(instance.ID + "/" + strconv.FormatInt(instance.StartedMs, 10))
 	suspects := g.suspects.ServerEnded(clock.Now(), number, running)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -363,7 +363,9 @@
 	case err != nil:
 		out := r.unknownOutcome(ctx, err)
 		cut := isCut(result.Code(out.GetCode()))
-		r.requestBroken(ctx, s, start, !cut)
+		if ended := upstream.IsConnectionEnd(err); cut || ended {
+			r.requestBroken(ctx, s, start, ended && !cut)
+		}
 		if cut {
 			g.requestCut(start, expected)
 		}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -199,6 +200,12 @@
 	return out, reusable, nil
 }
 
+// IsConnectionEnd reports whether the server's side ended the connection of a request
+// that was sent, as it does when its process ends.
+func IsConnectionEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // Refuses reports whether the server's address refuses connections, so that its process
 // has ended.
 func (c *Client) Refuses(ctx context.Context) bool {
