--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -233,9 +233,8 @@
 	return &e
 }
 
-// Merge takes over what a peer knows. It reports whether the table has changed and
-// whether it holds more than the peer knows.
-func (t *Table) Merge(now clock.Mono, peers []Entry) (changed, knowsMore bool) {
+// Merge takes over what a peer knows. It reports whether the table has changed.
+func (t *Table) Merge(now clock.Mono, peers []Entry) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range peers {
@@ -243,9 +242,8 @@
 			changed = true
 		}
 	}
-	t.expire(now)
 	t.shrink()
-	return changed, t.digest(now) != DigestOf(peers)
+	return changed
 }
 
 func (t *Table) mergeEntry(now clock.Mono, e Entry) bool {
@@ -361,7 +359,7 @@
 	t.size.Store(int64(len(t.records)))
 }
 
-// shrink bounds the table.
+// shrink bounds the table and updates its size.
 func (t *Table) shrink() {
 	for len(t.records) > maxRequests {
 		var least Fingerprint
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -60,8 +60,7 @@
 	if _, refused := table.Refused(now, deadly); refused {
 		t.Error("still refused after the time that an end counts")
 	}
-	table.Merge(now, nil)
-	if !table.Empty() {
+	if table.Entries(now); !table.Empty() {
 		t.Error("expired entries are kept")
 	}
 }
@@ -93,7 +92,7 @@
 		t.Errorf("%d ends after a peer saw an answer", n)
 	}
 	stale := Entry{Fingerprint: f, Ends: []uint64{0, 1, 2}}
-	if changed, _ := a.Merge(now, []Entry{stale}); changed || a.Ends(now, f) != 0 {
+	if a.Merge(now, []Entry{stale}) || a.Ends(now, f) != 0 {
 		t.Error("a peer that has not learned of the answer brought the ends back")
 	}
 }
@@ -130,8 +129,8 @@
 			if table.Digest(now) != tables[0].Digest(now) {
 				t.Errorf("seed %d: table %d differs", seed, i)
 			}
-			if changed, knowsMore := table.Merge(now, tables[0].Entries(now)); changed || knowsMore {
-				t.Errorf("seed %d: table %d is exchanged on: %v, %v", seed, i, changed, knowsMore)
+			if whole := tables[0].Entries(now); table.Merge(now, whole) || table.Digest(now) != DigestOf(whole) {
+				t.Errorf("seed %d: table %d is exchanged on", seed, i)
 			}
 		}
 	}
@@ -157,7 +156,7 @@
 func TestMalformedEntries(t *testing.T) {
 	now, table := clock.Mono(time.Hour), New()
 	long := Entry{Fingerprint: fingerprint("/a/"), Ends: make([]uint64, maxKeptEnds+1)}
-	if changed, _ := table.Merge(now, []Entry{long}); changed {
+	if table.Merge(now, []Entry{long}) {
 		t.Error("an entry with too many ends was taken over")
 	}
 	e := Entry{Fingerprint: fingerprint("/a/"), Ends: []uint64{1}, Age: time.Second}
--- a/internal/sidecar/suspects.go
+++ b/internal/sidecar/suspects.go
@@ -66,14 +66,14 @@
 		return false
 	}
 	entries := quarantine.FromWire(b.Suspects.GetSuspects()...)
-	changed, knowsMore := s.node.suspects.Merge(clock.Now(), entries)
-	if changed {
+	if s.node.suspects.Merge(clock.Now(), entries) {
 		s.node.log.Info("requests under which backend servers ended learned from a peer", "from", from, "entries", len(entries))
 		if s.node.gauges.isLeader.Load() {
 			s.spread(entries)
 		}
 	}
-	if v := s.node.view.Load(); knowsMore && b.Suspects.GetWhole() && v != nil {
+	v := s.node.view.Load()
+	if b.Suspects.GetWhole() && v != nil && s.node.suspects.Digest(clock.Now()) != quarantine.DigestOf(entries) {
 		if peer := v.Doc.Members[from.Name]; peer != nil {
 			s.syncPeer(peer.Addr)
 		}
