sidecar: what is known of a request goes to two members beside the leader

Change: a node sends its changes to the next two members in the order of names as well; the next leader learns them by the digests.

--- a/internal/sidecar/suspects.go
+++ b/internal/sidecar/suspects.go
@@ -1,20 +1,30 @@
 package sidecar
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/fleet"
 	"fulmarhinge/internal/quarantine"
 	"fulmarhinge/internal/wire"
 )
 
-// suspectSyncInterval is the least time between two whole tables sent to a peer.
-const suspectSyncInterval = time.Second
+const (
+	// suspectSyncInterval is the least time between two whole tables sent to a peer.
+	suspectSyncInterval = time.Second
+	// suspectCopies is the number of members beside the leader that a node sends its
+	// changes to.
+	suspectCopies = 2
+)
 
 // suspectSpreader exchanges with peers what nodes know of requests under which backend
-// servers have ended. Changes go to the leader, which sends them to all members. The
-// leader also compares digests with each status, so that a restarted member learns all.
+// servers have ended. Changes go to the leader, which sends them to all members, and to
+// some others, so that they are not lost if the leader and this node end. The leader also
+// compares digests with each status, so that a restarted member learns all.
 type suspectSpreader struct {
 	node *Node
 	// tables holds when each address was last sent the whole table.
@@ -25,23 +35,43 @@
 	return &suspectSpreader{node: n, tables: deliveries{interval: suspectSyncInterval}}
 }
 
-// spread sends changed entries on: the leader to all members, another node to the leader.
+// spread sends changed entries on.
 func (s *suspectSpreader) spread(entries []quarantine.Entry) {
 	v := s.node.view.Load()
 	if v == nil {
 		return
 	}
-	if !s.node.gauges.isLeader.Load() {
-		if leader := v.Doc.Members[v.Doc.Leader.Name]; leader != nil && leader.Name != s.node.self.Name {
-			s.send(leader.Addr, entries, false)
+	for _, mem := range suspectTargets(v.Doc, s.node.self.Name, s.node.gauges.isLeader.Load()) {
+		s.send(mem.Addr, entries, false)
+	}
+}
+
+// suspectTargets returns the members that a node sends its changes to: all others if it
+// leads, else the leader and the next ones after it in the order of names.
+func suspectTargets(doc *fleet.Document, self string, leads bool) []*fleet.Member {
+	var others []*fleet.Member
+	for _, name := range slices.Sorted(maps.Keys(doc.Members)) {
+		if name != self && !doc.Members[name].Evicted {
+			others = append(others, doc.Members[name])
 		}
-		return
 	}
-	for name, mem := range v.Doc.Members {
-		if name != s.node.self.Name && !mem.Evicted {
-			s.send(mem.Addr, entries, false)
+	if leads {
+		return others
+	}
+	var out []*fleet.Member
+	if leader := doc.Members[doc.Leader.Name]; leader != nil && leader.Name != self {
+		out = append(out, leader)
+	}
+	next, _ := slices.BinarySearchFunc(others, self, func(m *fleet.Member, name string) int { return cmp.Compare(m.Name, name) })
+	copies := 0
+	for i := range others {
+		m := others[(next+i)%len(others)]
+		if copies < suspectCopies && m.Name != doc.Leader.Name {
+			out = append(out, m)
+			copies++
 		}
 	}
+	return out
 }
 
 // syncPeer sends a peer the whole table.
