gate: requests under which two servers have ended run apart from each other

Cause: a request that is sent again until its server holds its key starts together with the deadly one each time, so both have as many ends.

Change: of all requests with two ends or more, a gate runs one at a time. The next end is held against that one alone; the others are answered, which clears them.

--- a/internal/gate/ended_test.go
+++ b/internal/gate/ended_test.go
@@ -31,6 +31,8 @@
 	runs map[string]int
 	// working is closed to end the work on other requests.
 	working chan struct{}
+	// work is how long the others work after that.
+	work time.Duration
 }
 
 func (e *endingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -44,6 +46,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	<-e.working
+	time.Sleep(e.work)
 	w.Header().Set("Id", r.Header.Get("Id"))
 	w.Header().Set("Proof", "p")
 	fmt.Fprint(w, "fine")
@@ -177,3 +180,36 @@
 		t.Errorf("after the answer: code %d", out.GetCode())
 	}
 }
+
+// TestRequestBesideDeadlyOneIsNotQuarantined guards against a request that is refused because it was sent again beside
+// the cause each time.
+func TestRequestBesideDeadlyOneIsNotQuarantined(t *testing.T) {
+	e, g, _ := newEndingServer(t)
+	e.work = 30 * time.Millisecond
+	close(e.working)
+	send := func(path string, code *result.Code) func() {
+		return func() {
+			out, _ := g.Do(context.Background(), requestFor(path), nil)
+			*code = result.Code(out.GetCode())
+		}
+	}
+	var deadly, other result.Code
+	for round := 0; deadly != result.Quarantined; round++ {
+		if round > 20 {
+			t.Fatal("the deadly request is not refused")
+		}
+		var both sync.WaitGroup
+		both.Go(send("/other", &other))
+		both.Go(send("/deadly", &deadly))
+		both.Wait()
+		if other == result.Quarantined {
+			t.Fatalf("round %d: the other request is refused", round)
+		}
+		if deadly == result.AnswerCut {
+			e.start(g)
+		}
+	}
+	if send("/other", &other)(); other != result.OK {
+		t.Errorf("the other request ends with code %d once the deadly one is refused", other)
+	}
+}
--- a/internal/gate/suspect.go
+++ b/internal/gate/suspect.go
@@ -48,22 +48,31 @@
 type soloRuns struct {
 	mu      sync.Mutex
 	running map[quarantine.Fingerprint]bool
+	// apart is true while one runs that is apart from all others of its kind.
+	apart bool
 }
 
 // startSuspect reports whether the request may be sent now, and returns what is to be
 // called once it has ended. Of the requests that are the same, and under which a server
-// has ended, one runs at a time: if it is the cause, the others need not run.
+// has ended, one runs at a time: if it is the cause, the others need not run. Of all under
+// which several have ended, one runs at a time, so that the next end shows which is the
+// cause.
 func (r *request) startSuspect() (end func(), ok bool) {
 	g := r.gate
-	if g.suspects.Empty() || g.suspects.Ends(clock.Now(), r.fingerprint()) == 0 {
+	if g.suspects.Empty() {
 		return func() {}, true
 	}
-	f := r.fingerprint()
+	f, now := r.fingerprint(), clock.Now()
+	if g.suspects.Ends(now, f) == 0 {
+		return func() {}, true
+	}
+	apart := g.suspects.RunsApart(now, f)
 	g.solo.mu.Lock()
 	defer g.solo.mu.Unlock()
-	if g.solo.running[f] {
+	if g.solo.running[f] || apart && g.solo.apart {
 		return nil, false
 	}
+	g.solo.apart = g.solo.apart || apart
 	if g.solo.running == nil {
 		g.solo.running = map[quarantine.Fingerprint]bool{}
 	}
@@ -72,6 +81,9 @@
 		g.solo.mu.Lock()
 		defer g.solo.mu.Unlock()
 		delete(g.solo.running, f)
+		if apart {
+			g.solo.apart = false
+		}
 	}, true
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -24,9 +24,9 @@
 	// maxEnds is the number of servers that may end under a request before it is
 	// refused.
 	maxEnds = 3
-	// maxEndsBeforeRepeat is the number from which on a request is not repeated
-	// without its caller asking again.
-	maxEndsBeforeRepeat = 2
+	// endsToRunApart is the number from which on a request runs apart from others with
+	// as many, and is not repeated without its caller asking again.
+	endsToRunApart = 2
 	// suspicionTime is how long an end counts, and so how long a request is refused
 	// after the last server that ended under it.
 	suspicionTime = time.Hour
@@ -148,7 +148,13 @@
 // MayRepeat reports whether a request that was not answered may be sent to another
 // server without its caller asking again.
 func (t *Table) MayRepeat(now clock.Mono, f Fingerprint) bool {
-	return t.Ends(now, f) < maxEndsBeforeRepeat
+	return t.Ends(now, f) < endsToRunApart
+}
+
+// RunsApart reports whether a request must not run at a server beside another one for which
+// this holds.
+func (t *Table) RunsApart(now clock.Mono, f Fingerprint) bool {
+	return t.Ends(now, f) >= endsToRunApart
 }
 
 // ServerEnded records that a server ended while it ran these requests. Only those with
