A server that leaves and refuses connections is not taken for ended

Cause: a refused connection counts as proof that the server's process has ended. A server that leaves closes its listener and works on. Since the gate looks for that at each broken connection, which a leaving server's are, so rows were given up 10 ms after the announcement; before, only a new connection or 1.2 s without a report led there.

Change: the gate's look only tells which requests were running, and only of a server that does not leave; a node keeps the rows of a leaving server until its hold runs out.

--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -382,9 +382,10 @@
 }
 
 // handleServerDown gives up the rows of a server instance whose process has
-// ended.
+// ended. A server that leaves may refuse connections while it still works on
+// requests for its rows, so it keeps them until its hold runs out.
 func (m *Machine) handleServerDown(instance Instance) {
-	if !m.local.alive || m.local.server.Instance != instance {
+	if !m.local.alive || m.local.server.Instance != instance || !m.local.server.Ready {
 		return
 	}
 	m.local.alive = false
--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -60,3 +60,22 @@
 		})
 	}
 }
+
+// TestLeavingServerKeepsRowsWhenItRefusesConnections guards against rows that are given on while a server that has
+// closed its listener still works on requests for them.
+func TestLeavingServerKeepsRowsWhenItRefusesConnections(t *testing.T) {
+	s := newStableSim(2, 4)
+	n := s.nodes[1]
+	n.server.ready = false
+	n.server.report(false)
+	s.runUntil(s.now.Add(20 * time.Millisecond))
+	n.step(ServerDown{Instance: n.server.instance})
+	if n.machine.local.generation != 0 || !n.machine.local.alive {
+		t.Error("the node has given up the rows of a server that leaves")
+	}
+	s.runUntil(s.now.Add(8 * time.Second))
+	if held := s.heldKeys(); held != MaxKey+1 {
+		t.Errorf("%d of %d keys are held", held, MaxKey+1)
+	}
+	reportViolations(t, 2, s)
+}
--- a/internal/gate/ended.go
+++ b/internal/gate/ended.go
@@ -137,15 +137,15 @@
 	}
 }
 
-// checkEnded looks whether the server has ended, which a refused connection shows.
+// checkEnded looks whether the server has ended, which a refused connection shows. A server
+// that leaves may refuse connections while it still works.
 func (g *Gate) checkEnded(instance fleet.Instance) {
 	defer g.broken.endCheck()
 	time.Sleep(breakGatherTime)
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 	defer cancel()
-	if g.client.Refuses(ctx) {
+	if s := g.server.Load(); s != nil && s.Instance == instance && s.Ready && g.client.Refuses(ctx) {
 		g.serverEnded(instance)
-		g.onConnRefused()
 	}
 }
 
--- a/internal/gate/ended_test.go
+++ b/internal/gate/ended_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -213,3 +214,20 @@
 		t.Errorf("the other request ends with code %d once the deadly one is refused", other)
 	}
 }
+
+// TestLeavingServerIsNotTakenForEnded guards against rows that are given on while a server that has closed its listener
+// still works on requests for them.
+func TestLeavingServerIsNotTakenForEnded(t *testing.T) {
+	e, g, told := newEndingServer(t)
+	var refused atomic.Int64
+	g.onConnRefused = func() { refused.Add(1) }
+	leaving := g.Server().Server
+	leaving.Ready = false
+	g.SetServer(&leaving)
+	if out, _ := g.Do(context.Background(), requestFor("/deadly"), nil); result.Code(out.GetCode()) != result.AnswerCut || e.count("/deadly") != 1 {
+		t.Fatalf("code %d", out.GetCode())
+	}
+	if refused.Load() != 0 || len(*told) != 0 {
+		t.Errorf("the server was taken for ended: %d times, %d suspects", refused.Load(), len(*told))
+	}
+}
