gate: requests whose connections break just after their server's end is known count

Cause: the requests of an instance were taken as soon as another request's connection was refused, a moment before the connection of the cause broke.

--- a/internal/gate/ended_test.go
+++ b/internal/gate/ended_test.go
@@ -32,6 +32,8 @@
 	runs map[string]int
 	// working is closed to end the work on other requests.
 	working chan struct{}
+	// beforeEnd is called before the server ends, if it is set.
+	beforeEnd func()
 	// work is how long the others work after that.
 	work time.Duration
 }
@@ -43,6 +45,9 @@
 	e.mu.Unlock()
 	if r.URL.Path == "/deadly" {
 		time.Sleep(5 * time.Millisecond)
+		if e.beforeEnd != nil {
+			e.beforeEnd()
+		}
 		_ = srv.Close()
 		panic(http.ErrAbortHandler)
 	}
@@ -231,3 +236,19 @@
 		t.Errorf("the server was taken for ended: %d times, %d suspects", refused.Load(), len(*told))
 	}
 }
+
+// TestEndKnownBeforeConnectionBreaks guards against a cause that is not counted because the server's end was known just
+// before its connection broke.
+func TestEndKnownBeforeConnectionBreaks(t *testing.T) {
+	e, g, _ := newEndingServer(t)
+	e.beforeEnd = func() { g.SetServer(nil) }
+	g.Do(context.Background(), requestFor("/deadly"), nil)
+	deadly := quarantine.FingerprintOf(http.MethodGet, "h", "/deadly", "5", nil)
+	for range 100 {
+		if g.suspects.Ends(clock.Now(), deadly) == 1 {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Error("the end was not held against the request")
+}
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -43,7 +43,8 @@
 // setServer replaces the server. The caller holds the lock of the notices.
 func (g *Gate) setServer(s *fleet.Server) {
 	if old := g.server.Load(); old != nil && (s == nil || s.Instance != old.Instance) {
-		g.serverEnded(old.Instance)
+		// Connections of its requests may break a moment later than its end is known.
+		time.AfterFunc(breakGatherTime, func() { g.serverEnded(old.Instance) })
 	}
 	if s == nil {
 		g.server.Store(nil)
