Logs: what a late process used, and which members lack the newest configuration

The timeline of CONFIG shows members that are late by up to 1.9 s, but not whether their processes lacked processor time or used too much of it, and not what the leader knew of them. No decision depends on the new lines.

--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -73,6 +73,8 @@
 	// promisedAt is when each member was last promised that the document is not
 	// written.
 	promisedAt map[string]clock.Mono
+	// config is how far the newest configuration has come.
+	config configProgress
 }
 
 // restartedMember is a new incarnation of a member that the document does not
@@ -395,6 +397,7 @@
 		m.requestRead(proofInterval)
 	}
 	m.resendDocument()
+	m.noteConfigProgress()
 	if m.pendingWrite != nil || m.leadership.nextPlanAt > m.now || m.documentOutdated() || m.promiseInForce() {
 		return
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -53,8 +53,11 @@
 	lastTick   time.Time
 	// delayLoggedAt is when a late tick was last logged.
 	delayLoggedAt time.Time
-	lastNotice    fleet.ServerNotice
-	handovers     handoverTimer
+	// usage is what the process had used at usageAt, the last load sample.
+	usage      processUsage
+	usageAt    time.Time
+	lastNotice fleet.ServerNotice
+	handovers  handoverTimer
 	// platformLost is true while reads and writes of the fleet document fail.
 	platformLost bool
 	// suspectsLoaded is true once the suspects of the first document are known.
@@ -222,8 +225,9 @@
 	controlDelay.Update(delay.Seconds())
 	if delay > longControlDelay && now.Sub(l.delayLoggedAt) > controlDelayLogInterval {
 		l.delayLoggedAt = now
-		l.node.log.Warn("control goroutine delayed", "delay_ms", delay.Milliseconds(), "queued_events", len(l.events),
-			"leads", l.node.machine.Leads())
+		args := []any{"delay_ms", delay.Milliseconds(), "queued_events", len(l.events), "leads", l.node.machine.Leads(),
+			"used_in_ms", now.Sub(l.usageAt).Milliseconds()}
+		l.node.log.Warn("control goroutine delayed", append(args, readUsage().logArgs(l.usage)...)...)
 	}
 }
 
@@ -233,6 +237,7 @@
 	l.node.ingress.Heartbeat()
 	if now.Sub(l.lastSample) >= loadSampleInterval {
 		l.lastSample = now
+		l.usage, l.usageAt = readUsage(), now
 		spans, meanWork := l.node.gate.Sample()
 		l.node.machine.Step(clock.Now(), fleet.LoadSampled{Spans: spans, MeanServiceTime: meanWork})
 		l.node.ingress.Flush()
