peer: a session that ends lets its waiting requests go at once

Between the shutdown of a yamux session and the end of its streams, a Read does not block: it makes a timer and looks again. The shutdown waited for system calls and other goroutines in that span, so that each waiting request took a whole time slice, again and again.

Now a connection is closed before its read reports the end, and only the read reports it: a write after the end is discarded, as what was buffered always was, and sessions are ended by closing their connections. The span then contains no system call and no wait.

--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -178,7 +178,7 @@
 	defer conn.Close()
 	stop := context.AfterFunc(s.t.ctx, func() { _ = conn.Close() })
 	defer stop()
-	counted := &countingConn{Conn: conn, t: s.t}
+	counted := newCountingConn(s.t, conn)
 	mux, err := yamux.Client(counted, sessionConfig(controlKeepalive, controlWriteTimeout))
 	if err != nil {
 		return first, err
@@ -216,7 +216,7 @@
 
 // serveControl receives the control messages of a session that a peer opened.
 func (t *Transport) serveControl(from cluster.MemberRef, conn net.Conn) {
-	counted := &countingConn{Conn: conn, t: t}
+	counted := newCountingConn(t, conn)
 	mux, err := yamux.Server(counted, sessionConfig(acceptedKeepalive, acceptedWriteTimeout))
 	if err != nil {
 		return
@@ -252,12 +252,16 @@
 
 // countingConn counts the bytes of a control session.
 type countingConn struct {
-	net.Conn
+	sessionConn
 	t *Transport
 }
 
+func newCountingConn(t *Transport, conn net.Conn) *countingConn {
+	return &countingConn{sessionConn: sessionConn{Conn: conn}, t: t}
+}
+
 func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.sessionConn.Read(p)
 	c.t.bytesReceived.Add(uint64(n))
 	return n, err
 }
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -113,12 +113,13 @@
 	case <-t.ctx.Done():
 	}
 	t.sessions.remove(mux)
-	_ = mux.Close()
+	_ = conn.Close()
 }
 
 // dialedSession is a session that this node dialed.
 type dialedSession struct {
-	mux  *yamux.Session
+	mux *yamux.Session
+	// conn is closed to end the session; see sessionConn.
 	conn *activityConn
 	// lastActive is when requests were last in flight.
 	lastActive time.Time
@@ -182,7 +183,7 @@
 			}
 		}
 		if now.Sub(s.lastActive) > trafficIdleTimeout {
-			go mux.Close()
+			go s.conn.Close()
 		}
 	}
 }
@@ -190,7 +191,7 @@
 func (s *dialedSession) closeUnlessAnswered() {
 	defer s.pinging.Store(false)
 	if ping(s.mux) != nil {
-		_ = s.mux.Close()
+		_ = s.conn.Close()
 	}
 }
 
@@ -231,11 +232,12 @@
 
 // serveTraffic calls onStream for each stream of a session that a peer opened.
 func (t *Transport) serveTraffic(from cluster.MemberRef, conn net.Conn) {
-	mux, err := yamux.Server(newBatchConn(conn), sessionConfig(0, trafficWriteTimeout))
+	batched := newBatchConn(conn)
+	defer batched.Close()
+	mux, err := yamux.Server(batched, sessionConfig(0, trafficWriteTimeout))
 	if err != nil {
 		return
 	}
-	defer mux.Close()
 	// The end of the session cancels its requests.
 	ctx, cancel := context.WithCancel(t.ctx)
 	defer cancel()
