--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -34,8 +34,10 @@
 	// violations holds the violated guarantees.
 	violations []string
 	trace      []string
-	// storeCalls counts the calls to the store.
-	storeCalls int
+	// storeCalls counts the calls to the store for the document, configCalls those
+	// for the configuration.
+	storeCalls, configCalls int
+	config                  simConfig
 	// epochs holds the highest epoch with which each key was held.
 	epochs []simEpoch
 }
@@ -168,6 +170,14 @@
 	linkFreeAt    clock.Mono
 	server        *simServer
 	deferredCalls []func()
+	// configVersion is the configuration in force since configAt, and configSentAt
+	// when other nodes were last sent it.
+	configVersion uint64
+	configAt      clock.Mono
+	configSentAt  map[string]clock.Mono
+	// watchedConfig is true if the node watches the configuration.
+	watchedConfig  bool
+	configPolledAt clock.Mono
 }
 
 func newSim(seed int64, nodes int) *sim { return newSimOverLinks(seed, nodes, 0) }
@@ -177,6 +187,7 @@
 func newSimOverLinks(seed int64, nodes int, linkMbps float64) *sim {
 	s := &sim{linkMbps: linkMbps, rng: rand.New(rand.NewSource(seed)), now: clock.Mono(time.Hour), epochs: make([]simEpoch, MaxKey+1)}
 	s.store = simStore{era: 1, documents: map[string]simObject{}}
+	s.config.version = 1
 	for i := range nodes {
 		n := &simNode{sim: s, name: fmt.Sprintf("n%02d", i)}
 		s.nodes = append(s.nodes, n)
@@ -200,7 +211,8 @@
 		Nonce: fmt.Sprint(n.incarnation), Timing: timing, LinkMbps: n.sim.linkMbps, Weight: n.weight,
 	})
 	n.sim.log("%s starts as %d", n.name, n.incarnation)
-	n.step(ConfigChanged{Version: 1, KeyedServices: map[string]bool{"svc": true}})
+	n.configVersion, n.configSentAt, n.watchedConfig = 0, map[string]clock.Mono{}, false
+	n.applyConfig(max(n.sim.config.version, 1))
 	n.tick(n.processRun)
 }
 
@@ -249,6 +261,8 @@
 	if r.Write != nil {
 		n.write(r.Write)
 	}
+	n.syncConfigs(r.Configs)
+	n.watchConfig()
 }
 
 func (n *simNode) send(m Outgoing) {
@@ -271,7 +285,11 @@
 	}
 	s.after(sent+delay, func() {
 		if to.up && !to.partitioned && !n.partitioned {
-			to.whenNotFrozen(func() { to.step(Message{From: from, Body: body}) })
+			to.whenNotFrozen(func() {
+				if !to.handleConfig(body) {
+					to.step(Message{From: from, Body: body})
+				}
+			})
 		}
 	})
 }
