fleet: a member that cannot rely on its leader reads the configuration itself

On small links the leader leaves 5 s between two copies to a member.

Now a member asks the platform once when it has heard nothing from the leader for 1 s, or when the leader's answers have named a newer version for 0.4 s; a leader does so at once when it takes over, and every 1.2 s as before. In calm nobody but the leader reads (TestConfigReads).

--- a/internal/fleet/calls_test.go
+++ b/internal/fleet/calls_test.go
@@ -123,3 +123,25 @@
 		t.Errorf("the whole document was sent %d times", whole)
 	}
 }
+
+// TestConfigReads checks how often a fleet of 100 members reads the configuration from the
+// platform: in calm only the leader does, and after its end each member a few times until
+// another one answers.
+func TestConfigReads(t *testing.T) {
+	const members = 100
+	s := newSim(11, members)
+	s.reliable = true
+	s.runUntil(s.now.Add(12 * time.Second))
+	before := s.configCalls
+	const calm = 12 * time.Second
+	s.runUntil(s.now.Add(calm))
+	if n, bound := s.configCalls-before, int(calm/configPollInterval)+1; n > bound {
+		t.Errorf("%d reads in %v of calm, expected at most %d", n, calm, bound)
+	}
+	s.leader().kill()
+	before = s.configCalls
+	s.runUntil(s.now.Add(5 * time.Second))
+	if n, bound := s.configCalls-before, 3*members; n > bound {
+		t.Errorf("%d reads in the 5 s after the leader's end, expected at most %d", n, bound)
+	}
+}
--- a/internal/fleet/config_sim_test.go
+++ b/internal/fleet/config_sim_test.go
@@ -27,9 +27,6 @@
 // that copies to all members take over half of the link.
 const simSpreadTime = 400 * time.Millisecond
 
-// simPollInterval is the time between two reads of a leader.
-const simPollInterval = 1200 * time.Millisecond
-
 // changeConfig writes the next version to the store.
 func (s *sim) changeConfig() {
 	s.config.version++
@@ -55,14 +52,11 @@
 	})
 }
 
-// watchConfig reads the configuration when the node begins to watch it, and on a leader
-// from time to time.
+// watchConfig reads the configuration when the node begins to watch it.
 func (n *simNode) watchConfig() {
 	watched := n.watchedConfig
 	n.watchedConfig = n.machine.WatchesConfig()
-	polls := n.machine.Leads() && n.sim.now.Sub(n.configPolledAt) >= simPollInterval
-	if n.watchedConfig && (!watched || polls) {
-		n.configPolledAt = n.sim.now
+	if n.watchedConfig && !watched {
 		n.readConfig()
 	}
 }
--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -204,6 +204,7 @@
 	m.send(s.GetPeerAddr(), &wire.Control{Body: &wire.Control_StatusAnswer{StatusAnswer: &wire.StatusAnswer{
 		Seq: s.GetSeq(), Term: m.doc.Term, Renewed: renewed, DocumentVersion: m.version, Stamp: int64(m.now),
 		Unproven: m.unproven(), Promised: promised, ProofAgeMs: m.now.Sub(m.leadership.proofAt).Milliseconds() + 1,
+		ConfigVersion: m.configVersion,
 	}}})
 	if s.GetDocumentVersion() < m.version {
 		m.bringUpToDate(name, s)
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -131,6 +131,7 @@
 	// keyedServices holds the services that are divided by ordered keys.
 	keyedServices map[string]bool
 	configVersion uint64
+	configReads   configReads
 	// suspectsDigest is the digest of what this node knows of requests under which
 	// backend servers have ended.
 	suspectsDigest uint64
@@ -230,6 +231,7 @@
 	m := &Machine{params: p, now: now, keyedServices: map[string]bool{}, docChanged: true}
 	m.lease.sentAt = map[uint64]clock.Mono{}
 	m.lease.leaderLastSeenAt = now
+	m.configReads.nextAt = now.Add(configReadInterval)
 	m.local = newLocalServer(now.Add(p.Timing.Lease))
 	return m
 }
@@ -331,8 +333,10 @@
 	Version  uint64
 	Messages []Outgoing
 	Read     bool
-	Write    *Write
-	Notes    []Note
+	// ReadConfig requests a read of the configuration.
+	ReadConfig bool
+	Write      *Write
+	Notes      []Note
 	// Configs lists the members whose configuration version differs from this
 	// node's.
 	Configs []ConfigDiffers
@@ -395,6 +399,7 @@
 	m.checkServerSilence()
 	m.sendStatus()
 	m.checkLeader()
+	m.requestConfigRead()
 	if m.leadership != nil {
 		m.tickLeader()
 	}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -89,6 +89,7 @@
 		return
 	}
 	m.lease.leaderLastSeenAt, m.lease.lastAnswerAt = m.now, m.now
+	m.configReads.observeLeader(m.now, a.GetConfigVersion(), m.configVersion)
 	if a.GetStamp() == m.lease.echo {
 		m.lease.promise = newPromise(a, sent, m.params.Timing.Lease)
 	}
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -176,8 +176,7 @@
 	configAt      clock.Mono
 	configSentAt  map[string]clock.Mono
 	// watchedConfig is true if the node watches the configuration.
-	watchedConfig  bool
-	configPolledAt clock.Mono
+	watchedConfig bool
 }
 
 func newSim(seed int64, nodes int) *sim { return newSimOverLinks(seed, nodes, 0) }
@@ -258,6 +257,9 @@
 	if r.Read {
 		n.read()
 	}
+	if r.ReadConfig {
+		n.readConfig()
+	}
 	if r.Write != nil {
 		n.write(r.Write)
 	}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -22,9 +22,6 @@
 	// configLinkShare is the part of the VM's link that a configuration on its way to
 	// all members is taken to have.
 	configLinkShare = 0.5
-	// leaderPollInterval is the interval at which the leader reads the
-	// configuration, in case no watch delivers changes any more.
-	leaderPollInterval = 1200 * time.Millisecond
 )
 
 // configWatcher keeps the operator's configuration up to date with a watch of the
@@ -54,8 +51,7 @@
 // run keeps the configuration up to date until ctx ends. It watches the platform while
 // the fleet state machine asks for it, and otherwise relies on the leader.
 func (w *configWatcher) run(ctx context.Context) {
-	go w.pollOnLeader(ctx)
-	w.readOnce(ctx)
+	w.read(ctx)
 	for ctx.Err() == nil {
 		if !w.node.gauges.watchesConfig.Load() {
 			w.awaitModeChange(ctx)
@@ -94,11 +90,12 @@
 	}
 }
 
-// readOnce reads the configuration when the node starts.
-func (w *configWatcher) readOnce(ctx context.Context) {
+// read reads the configuration from the platform. The fleet state machine asks for it
+// again if it fails.
+func (w *configWatcher) read(ctx context.Context) {
 	o, err := w.node.adapter.Store.Get(ctx, w.node.adapter.ConfigKey)
 	if err != nil {
-		w.node.log.Info("configuration not read at the start; watching the platform", "error", err)
+		w.node.log.Info("configuration not read from the platform", "error", err)
 		return
 	}
 	w.applyStored(o)
@@ -145,14 +142,18 @@
 	}
 }
 
-// spread sends the configuration in force on: the leader to all members, another node to
-// the leader. Members that miss it get it when their next status reaches the leader.
+// spread sends the configuration in force on: the leader to all members, another node
+// that watches the platform to the leader. Members that miss it get it when their next
+// status reaches the leader, or read it themselves.
 func (w *configWatcher) spread() {
 	v := w.node.view.Load()
 	if v == nil {
 		return
 	}
 	if !w.node.gauges.isLeader.Load() {
+		if !w.node.gauges.watchesConfig.Load() {
+			return
+		}
 		if leader := v.Doc.Members[v.Doc.Leader.Name]; leader != nil && leader.Name != w.node.self.Name {
 			w.node.transport.Send(leader.Addr, w.objectMessage(w.config.Version, w.value))
 		}
@@ -215,30 +216,6 @@
 	return version, w.value, w.appliedAt
 }
 
-// pollOnLeader reads the configuration periodically while this node is the leader,
-// in case no watch delivers changes any more.
-func (w *configWatcher) pollOnLeader(ctx context.Context) {
-	t := time.NewTicker(leaderPollInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		if !w.node.gauges.isLeader.Load() {
-			continue
-		}
-		o, err := w.node.adapter.Store.Get(ctx, w.node.adapter.ConfigKey)
-		if err != nil {
-			// The watch and the document reads already log that the platform is
-			// unavailable.
-			continue
-		}
-		w.applyStored(o)
-	}
-}
-
 // syncPeer handles a member that has another version of the configuration: a member
 // with an older version is sent this node's configuration, and one with a newer version
 // is asked for its own. Shortly after a change nothing is sent, because the change may
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -320,6 +320,9 @@
 	if r.Read {
 		go l.readDocument(ctx)
 	}
+	if r.ReadConfig {
+		go n.config.read(ctx)
+	}
 	if r.Write != nil {
 		go l.writeDocument(ctx, r.Write)
 	}
