--- a/internal/disconnect/disconnect.go
+++ b/internal/disconnect/disconnect.go
@@ -14,11 +14,22 @@
 // arrive, or to be read by its goroutine where the socket cannot be looked at.
 const checkDelay = 20 * time.Millisecond
 
-type connKey struct{}
+type (
+	connKey    struct{}
+	sessionKey struct{}
+)
 
 // WithConn returns a context for the requests of a caller's connection, so that
 // Gone can look at its socket.
-func WithConn(ctx context.Context, c net.Conn) context.Context {
+func WithConn(ctx context.Context, c net.Conn) context.Context { return withRaw(ctx, connKey{}, c) }
+
+// WithSession returns a context for the requests that a peer sends on a session over
+// this connection, so that StillConnected can look at its socket.
+func WithSession(ctx context.Context, c net.Conn) context.Context {
+	return withRaw(ctx, sessionKey{}, c)
+}
+
+func withRaw(ctx context.Context, key any, c net.Conn) context.Context {
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return ctx
@@ -28,7 +39,7 @@
 		// The connection is closed already, which ends the context.
 		return ctx
 	}
-	return context.WithValue(ctx, connKey{}, raw)
+	return context.WithValue(ctx, key, raw)
 }
 
 // Gone reports whether ctx has ended or the caller has closed its connection. On a
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/yamux"
 
 	"fulmarhinge/internal/cluster"
+	"fulmarhinge/internal/disconnect"
 	"fulmarhinge/internal/logging"
 )
 
@@ -239,7 +240,7 @@
 		return
 	}
 	// The end of the session cancels its requests.
-	ctx, cancel := context.WithCancel(t.ctx)
+	ctx, cancel := context.WithCancel(disconnect.WithSession(t.ctx, conn))
 	defer cancel()
 	for {
 		stream, err := mux.AcceptStream()
