gate: a request that came late or waited long is not sent on before its session was read

That the close lay unread on the session between the two nodes is suspected, not shown. The gate gave a late request 20 ms for its disconnect, and one that had waited for a slot none; a node without processor time reads its sessions later than that. It now looks at the session's socket and goes on only once it was read, or after 300 ms.

--- a/internal/disconnect/disconnect.go
+++ b/internal/disconnect/disconnect.go
@@ -14,6 +14,10 @@
 // arrive, or to be read by its goroutine where the socket cannot be looked at.
 const checkDelay = 20 * time.Millisecond
 
+// maxSessionWait bounds the wait for a session to be read: a busy one may have data
+// whenever it is looked at.
+const maxSessionWait = 300 * time.Millisecond
+
 type (
 	connKey    struct{}
 	sessionKey struct{}
@@ -53,17 +57,31 @@
 	return ok && socket.Peek(raw) == socket.Closed
 }
 
+// CloseMayWait reports whether the session of a peer's request has data that was not
+// read yet, so that a disconnect may be in it.
+func CloseMayWait(ctx context.Context) bool {
+	raw, ok := ctx.Value(sessionKey{}).(syscall.RawConn)
+	return ok && socket.Peek(raw) == socket.Data
+}
+
 // StillConnected waits for checkDelay and reports whether the caller is still
 // connected. After a pause of the process or the network, a delayed request and
-// the disconnect that follows it arrive together.
+// the disconnect that follows it arrive together. While a peer's session has data that
+// was not read yet, the wait goes on for up to maxSessionWait: the reader lacks
+// processor time, and the disconnect may be in that data.
 func StillConnected(ctx context.Context) bool {
-	timer := time.NewTimer(checkDelay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		// Both may have come while this goroutine did not run.
-		return !Gone(ctx)
+	began := time.Now()
+	ticker := time.NewTicker(checkDelay)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+		if !CloseMayWait(ctx) || time.Since(began) >= maxSessionWait {
+			// Both may have come while this goroutine did not run.
+			return !Gone(ctx)
+		}
 	}
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -406,6 +406,8 @@
 		return refuse(result.BackendBusy, silenceCheckTimeout)
 	case disconnect.Gone(ctx):
 		return refuse(result.CancelledBefore, 0)
+	case time.Since(r.receivedAt) > disconnectCheckMinDelay && disconnect.CloseMayWait(ctx) && !disconnect.StillConnected(ctx):
+		return refuse(result.CancelledBefore, 0)
 	default:
 		return r.quarantined()
 	}
