fleet: members read the configuration while their leader cannot prove that it reaches the platform

The eight members that may claim first now read the configuration too once the leader's last proof is a second old, and send it what they find; it passes that on. The number stays fixed as the fleet grows.

--- a/internal/fleet/config_sim_test.go
+++ b/internal/fleet/config_sim_test.go
@@ -74,14 +74,14 @@
 }
 
 // spreadConfig sends a configuration that was read from the store on: the leader to all
-// members, another node that watches to the leader.
+// members, another node to the leader if it is one of those that do so.
 func (n *simNode) spreadConfig() {
 	doc, _ := n.machine.Document()
 	if doc == nil {
 		return
 	}
 	if !n.machine.Leads() {
-		if doc.Leader.Name != n.name && n.machine.WatchesConfig() {
+		if doc.Leader.Name != n.name && n.machine.ForwardsConfig() {
 			n.sendConfig(doc.Leader.Name)
 		}
 		return
@@ -167,6 +167,7 @@
 // which run and reach the store do not have 2 s later.
 func TestConfigurationIsInForceInTime(t *testing.T) {
 	const bound = 2 * time.Second
+	const maxDelay = 500 * time.Millisecond
 	tests := []struct {
 		name     string
 		nodes    int
@@ -178,6 +179,12 @@
 		{"the leader and its standbys are lost", 10, 100, 4 << 10, func(s *sim) { s.killWatchers(3) }},
 		{"most nodes are lost", 10, 100, 4 << 10, func(s *sim) { s.killWatchers(6) }},
 		{"half of a larger fleet is lost", 80, 20, 4 << 10, func(s *sim) { s.killWatchers(40) }},
+		{"the store turns away the leader and the next three", 10, 100, 4 << 10, func(s *sim) {
+			l := s.leader()
+			for _, n := range s.nodes {
+				n.storeUnreachable = n == l || n.machine.claimRank() < 3
+			}
+		}},
 		{"first copies are lost on small links", 40, 11, 32 << 10, func(s *sim) {
 			lost := map[string]bool{}
 			s.config.lose = func(to string) bool {
@@ -194,12 +201,14 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			for seed := int64(1); seed <= 6; seed++ {
+				// The change comes at once, or a while after the disturbance.
+				delay := time.Duration(seed-1) * maxDelay / 5
 				s := newSimOverLinks(seed, test.nodes, test.linkMbps)
 				s.reliable = true
 				s.config.size = test.size
-				s.runUntil(s.now.Add(12 * time.Second))
+				s.runUntil(s.now.Add(12*time.Second + s.randomDuration(0, 700)))
 				test.disturb(s)
-				s.runUntil(s.now.Add(s.randomDuration(0, 500)))
+				s.runUntil(s.now.Add(delay))
 				s.changeConfig()
 				ackedAt := s.now
 				s.runUntil(ackedAt.Add(bound))
--- a/internal/fleet/configread.go
+++ b/internal/fleet/configread.go
@@ -11,6 +11,11 @@
 	// reads the configuration from the platform itself: a change may have come to
 	// nobody who watches it.
 	configSilence = time.Second
+	// configProofAge is how old the leader's last proof that it reaches the platform may
+	// be before the members that may claim first read the configuration too, and
+	// send it what they find: the leader and its standbys may be cut off from the
+	// platform together.
+	configProofAge = time.Second
 	// configCatchUp is how long a member may know that the leader has a newer
 	// configuration before it does so: the leader's copy may be lost, or take long
 	// over the leader's link.
@@ -28,12 +33,16 @@
 	// behindSince is when the leader was first known to have a newer configuration
 	// than this node; 0 if it is not.
 	behindSince clock.Mono
+	// leaderProofAt is the time up to which the leader is known to reach the platform.
+	leaderProofAt clock.Mono
 	// leads is true if this node led when it was last asked.
 	leads bool
 }
 
-// observeLeader records the version that the leader has while this node has another one.
-func (r *configReads) observeLeader(now clock.Mono, leader, own uint64) {
+// observeLeader records what the leader's answer says: the version that it has while this
+// node has another one, and the age of its last proof.
+func (r *configReads) observeLeader(now clock.Mono, leader, own uint64, proofAge time.Duration) {
+	r.leaderProofAt = now.Add(-proofAge)
 	switch {
 	case leader <= own:
 		r.behindSince = 0
@@ -49,7 +58,8 @@
 	began := m.Leads() && !r.leads
 	r.leads = m.Leads()
 	needed := r.leads || m.now.Sub(m.lease.lastAnswerAt) > configSilence ||
-		r.behindSince > 0 && m.now.Sub(r.behindSince) > configCatchUp
+		r.behindSince > 0 && m.now.Sub(r.behindSince) > configCatchUp ||
+		m.now.Sub(r.leaderProofAt) > configProofAge && m.mayForwardConfig()
 	if !began && (!needed || r.nextAt > m.now) {
 		return
 	}
@@ -60,3 +70,13 @@
 	r.nextAt = m.now.Add(interval)
 	m.ready.ReadConfig = true
 }
+
+// mayForwardConfig reports whether this member sends the leader a newer configuration
+// that it reads. Only a few do, so that the leader is not sent one by each member.
+func (m *Machine) mayForwardConfig() bool {
+	return m.doc != nil && m.claimRank() < claimCandidates
+}
+
+// ForwardsConfig reports whether a newer configuration that this node reads from the
+// platform is to be sent on.
+func (m *Machine) ForwardsConfig() bool { return m.WatchesConfig() || m.mayForwardConfig() }
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"fulmarhinge/internal/platform"
 	"fulmarhinge/internal/wire"
 )
@@ -89,7 +91,7 @@
 		return
 	}
 	m.lease.leaderLastSeenAt, m.lease.lastAnswerAt = m.now, m.now
-	m.configReads.observeLeader(m.now, a.GetConfigVersion(), m.configVersion)
+	m.configReads.observeLeader(m.now, a.GetConfigVersion(), m.configVersion, time.Duration(a.GetProofAgeMs())*time.Millisecond)
 	if a.GetStamp() == m.lease.echo {
 		m.lease.promise = newPromise(a, sent, m.params.Timing.Lease)
 	}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -143,7 +143,7 @@
 }
 
 // spread sends the configuration in force on: the leader to all members, another node
-// that watches the platform to the leader. Members that miss it get it when their next
+// to the leader if it is one of those that do so. Members that miss it get it when their next
 // status reaches the leader, or read it themselves.
 func (w *configWatcher) spread() {
 	v := w.node.view.Load()
@@ -151,7 +151,7 @@
 		return
 	}
 	if !w.node.gauges.isLeader.Load() {
-		if !w.node.gauges.watchesConfig.Load() {
+		if !w.node.gauges.forwardsConfig.Load() {
 			return
 		}
 		if leader := v.Doc.Members[v.Doc.Leader.Name]; leader != nil && leader.Name != w.node.self.Name {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -302,6 +302,7 @@
 	}
 	n.gauges.leaseUntil.Store(int64(n.machine.LeaseUntil()))
 	n.gauges.isLeader.Store(n.machine.Leads())
+	n.gauges.forwardsConfig.Store(n.machine.ForwardsConfig())
 	n.config.setWatches(n.machine.WatchesConfig())
 	for _, note := range r.Notes {
 		args := formatArgs(note.Args)
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -18,6 +18,7 @@
 	documentVersion atomic.Uint64
 	isLeader        atomic.Bool
 	watchesConfig   atomic.Bool
+	forwardsConfig  atomic.Bool
 	rowsHeld        atomic.Int64
 	// lastPlatformRead is the time of the last successful read of the fleet document.
 	lastPlatformRead atomic.Int64
