Review case 5: the server that has left exits, and requests are lost

Done: the script of review/5 sends requests that must not run twice, and its server exits 3 s after the acknowledgement.

--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,7 +1,7 @@
 //go:build review
 
 // Command 5 lets one liveness report of a backend server arrive late, while the backend
-// server deregisters, is acknowledged and goes on serving for some seconds.
+// server deregisters, is acknowledged, goes on serving for three seconds and exits.
 package main
 
 import (
@@ -14,14 +14,14 @@
 )
 
 const configuration = `{"version":"r7","routes":{
- "file":{"host":"file.example","pathPrefix":"/file/","kind":"retryable","timeoutS":2,"targetLatencyS":0.3,"priority":1,"service":"files","maxAttempts":2}},
+ "file":{"host":"file.example","pathPrefix":"/file/","kind":"non_idempotent","timeoutS":2,"targetLatencyS":0.3,"priority":1,"service":"files","maxAttempts":2}},
  "services":{"files":{"healthPath":"/healthz","maxConns":110}},
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}}`
 
 const (
 	machines  = 3
 	perSecond = 80
-	work      = 40 * time.Millisecond
+	work      = 80 * time.Millisecond
 	budget    = 2 * time.Second
 	// lateness is how late the last report arrives: "a liveness report may arrive seconds
 	// late".
@@ -30,8 +30,8 @@
 	// deregisters.
 	deregisterAfter = 1600 * time.Millisecond
 	// exitAfter is how long after the acknowledgement the backend server serves: drainS and a
-	// little longer, at times many seconds.
-	exitAfter = 7 * time.Second
+	// little longer.
+	exitAfter = 3 * time.Second
 	drain     = harness.DrainSeconds * time.Second
 )
 
@@ -45,6 +45,9 @@
 	arrivals []arrival
 	sent     map[string]time.Duration
 	served   int
+	// lost counts the requests whose callers got no answer of a backend server and no promise
+	// that they have not run.
+	lost int
 }
 
 func main() { os.Exit(run()) }
@@ -119,6 +122,7 @@
 	leaving.Exit()
 	rec.Say("%s exits", leaving.ID)
 	late.Wait()
+	time.Sleep(2 * time.Second)
 	close(stop)
 	callers.Wait()
 	return judge(rec, s, ackedAt)
@@ -169,12 +173,15 @@
 		s.sent[id] = rec.Since()
 		s.mu.Unlock()
 		sent.Go(func() {
-			reply := c.Send("GET", "file.example", "/file/page", id, "", budget)
-			rec.Log("GET %s: %d, seal %q, error %v", id, reply.Status, reply.Seal, reply.Err)
-			if reply.Status == 200 {
-				s.mu.Lock()
+			reply := c.Send("POST", "file.example", "/file/order", id, "order "+id, budget)
+			rec.Log("POST %s: %d, seal %q, error %v", id, reply.Status, reply.Seal, reply.Err)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			switch {
+			case reply.Status == 200:
 				s.served++
-				s.mu.Unlock()
+			case reply.Status != 503 && reply.Status != 429 && reply.Seal == "":
+				s.lost++
 			}
 		})
 	}
@@ -197,8 +204,8 @@
 			rec.Log("DRAIN: %s, sent at %.3f, reached i-3 %.3f s after the acknowledgement", a.id, s.sent[a.id].Seconds(), (a.at - ackedAt).Seconds())
 		}
 	}
-	rec.Say("%d of %d requests served; i-3 got %d before it was acknowledged and %d later than %v after that, the last one %.1f s after",
-		s.served, len(s.sent), before, late, drain, last.Seconds())
+	rec.Say("%d of %d requests served, %d ended without an answer of a server or a promise; i-3 got %d before it was acknowledged and %d later than %v after that, the last one %.1f s after",
+		s.served, len(s.sent), s.lost, before, late, drain, last.Seconds())
 	switch {
 	case before == 0:
 		return harness.NotRun
