--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -113,6 +113,8 @@
 	Wrap func(http.Handler) http.Handler
 	// LinkMbps is the bandwidth of each machine's link in the settings; 1000 if it is 0.
 	LinkMbps float64
+	// MemoryMB is the memory of each machine in the settings; 284 if it is 0.
+	MemoryMB int64
 	dir      string
 	address  string
 	server   *http.Server
@@ -176,6 +178,9 @@
 	if f.LinkMbps > 0 {
 		s.Resources.LinkMbps = f.LinkMbps
 	}
+	if f.MemoryMB > 0 {
+		s.Resources.MemoryMB = f.MemoryMB
+	}
 	if f.Network != nil {
 		if err := f.link(n, &s); err != nil {
 			return nil, err
