--- a/review/5/main.go
+++ b/review/5/main.go
@@ -72,7 +72,7 @@
 			rec.Say("no node: %v", err)
 			return harness.NotRun
 		}
-		b := &harness.Backend{ID: fmt.Sprintf("i-%d", i+1), Node: n, Slots: 18, Record: rec}
+		b := &harness.Backend{ID: fmt.Sprintf("i-%d", i+1), Node: n, Slots: 18}
 		b.Answer = func(b *harness.Backend, a harness.Arrival) []byte { return answer(rec, s, b, a) }
 		backends = append(backends, b)
 		if b.Serve() != nil || fleet.Start(n) != nil {
--- a/review/more/deadly/main.go
+++ b/review/more/deadly/main.go
@@ -100,7 +100,7 @@
 func (s *state) start(rec *harness.Record, i int, n *harness.Node) error {
 	stop := make(chan struct{})
 	var once sync.Once
-	b := &harness.Backend{ID: fmt.Sprintf("i-%d", i+1), Node: n, Slots: 18, Record: rec}
+	b := &harness.Backend{ID: fmt.Sprintf("i-%d", i+1), Node: n, Slots: 18}
 	b.Answer = func(b *harness.Backend, a harness.Arrival) []byte {
 		switch {
 		case a.ID == "":
--- a/review/more/downloads/main.go
+++ b/review/more/downloads/main.go
@@ -62,7 +62,7 @@
 		if err != nil {
 			return harness.NotRun
 		}
-		b := &harness.Backend{ID: fmt.Sprintf("i-%d", i+1), Node: n, Slots: 18, Record: rec}
+		b := &harness.Backend{ID: fmt.Sprintf("i-%d", i+1), Node: n, Slots: 18}
 		b.Answer = func(b *harness.Backend, a harness.Arrival) []byte {
 			if a.ID == "" {
 				return []byte("HTTP/1.1 200 OK\r\nX-Instance-Id: " + b.ID + "\r\nContent-Length: 0\r\n\r\n")
--- a/review/more/quarantine/main.go
+++ b/review/more/quarantine/main.go
@@ -28,20 +28,10 @@
 	// site file), and downTime how long the nodes are (closing kill_all, at most 1.3 s).
 	crashTime = 4 * time.Second
 	downTime  = 1300 * time.Millisecond
-	// recovery is recoveryS of the site.
-	recovery = 15 * time.Second
-	judged   = 10 * time.Second
+	judged    = 10 * time.Second
 )
 
-type attempt struct {
-	sentAt time.Duration
-	status int
-}
-
-type state struct {
-	mu       sync.Mutex
-	attempts []*attempt
-}
+type state struct{ recovery harness.Recovery }
 
 func main() { os.Exit(run()) }
 
@@ -61,7 +51,7 @@
 	backends := make([]*harness.Backend, machines)
 	stops := make([]chan struct{}, machines)
 	start := func(i int, n *harness.Node) error {
-		b := &harness.Backend{ID: fmt.Sprintf("i-%d", i+1), Node: n, Slots: 18, Record: rec}
+		b := &harness.Backend{ID: fmt.Sprintf("i-%d", i+1), Node: n, Slots: 18}
 		b.Answer = func(b *harness.Backend, a harness.Arrival) []byte {
 			if a.ID == "" {
 				return []byte("HTTP/1.1 200 OK\r\nX-Instance-Id: " + b.ID + "\r\nContent-Length: 0\r\n\r\n")
@@ -118,10 +108,10 @@
 		fleet.KillAll(downTime)
 		backAt = rec.Since()
 	}
-	time.Sleep(recovery + judged)
+	time.Sleep(harness.RecoverySeconds*time.Second + judged)
 	close(stop)
 	callers.Wait()
-	return judge(rec, s, faultAt, backAt)
+	return s.recovery.Judge(rec, faultAt, backAt)
 }
 
 func call(rec *harness.Record, s *state, n *harness.Node, stop <-chan struct{}) {
@@ -137,47 +127,14 @@
 		case <-tick.C:
 		}
 		id := fmt.Sprintf("%s-%05d", n.Name, i)
-		t := &attempt{sentAt: rec.Since()}
-		s.mu.Lock()
-		s.attempts = append(s.attempts, t)
-		s.mu.Unlock()
+		sentAt := rec.Since()
+		served := s.recovery.Sent(sentAt)
 		sent.Go(func() {
 			reply := c.Send("GET", "file.example", "/file/page", id, "", budget)
-			rec.Log("GET %s sent at %.3f: %d, seal %q, error %v", id, t.sentAt.Seconds(), reply.Status, reply.Seal, reply.Err)
-			s.mu.Lock()
-			t.status = reply.Status
-			s.mu.Unlock()
-		})
-	}
-}
-
-// judge applies RECOVER: of the requests sent later than recoveryS after the machines are
-// back, a quarter at least is served, if a quarter was before the final fault.
-func judge(rec *harness.Record, s *state, faultAt, backAt time.Duration) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	before, servedBefore, after, servedAfter := 0, 0, 0, 0
-	for _, t := range s.attempts {
-		switch {
-		case t.sentAt < faultAt:
-			before++
-			if t.status == 200 {
-				servedBefore++
-			}
-		case t.sentAt > backAt+recovery:
-			after++
-			if t.status == 200 {
-				servedAfter++
+			rec.Log("GET %s sent at %.3f: %d, seal %q, error %v", id, sentAt.Seconds(), reply.Status, reply.Seal, reply.Err)
+			if reply.Status == 200 {
+				served()
 			}
-		}
-	}
-	rec.Say("served before the final fault: %d of %d; later than %v after the machines were back: %d of %d", servedBefore, before, recovery, servedAfter, after)
-	switch {
-	case before == 0 || after == 0 || 4*servedBefore < before:
-		return harness.NotRun
-	case 4*servedAfter < after:
-		rec.Say("RECOVER broken")
-		return harness.Broken
+		})
 	}
-	return harness.Held
 }
