Fleet: a second eviction waits for the lease after a lost answer

Cause: the time of an eviction was tracked only when a write was confirmed. If a read shows the write that takes an eviction back before its answer arrives, or the answer never does, the time of the first eviction stays. A second eviction of the same member then counts as old, and its rows are given on at once although its lease runs.

Change: evictions are tracked for each document that is installed, whichever answer or peer brought it, and forgotten with the member.

--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"time"
 
 	"fulmarhinge/internal/clock"
@@ -94,6 +95,20 @@
 	echoAt clock.Mono
 }
 
+// updateLeadership adapts the leadership of this node to a document that has just been
+// installed. The document may be one that this node wrote: a read or a peer can bring it
+// before the answer to the write, or the answer may never come.
+func (m *Machine) updateLeadership() {
+	if m.leadership == nil {
+		return
+	}
+	if m.doc.Leader != m.params.Self || m.doc.Resigned {
+		m.stepDown()
+		return
+	}
+	m.trackEvictions()
+}
+
 // confirmLeadership handles a successful write that made or kept this node the
 // leader.
 func (m *Machine) confirmLeadership(sentAt clock.Mono) {
@@ -126,13 +141,17 @@
 }
 
 // trackEvictions records when members were marked as evicted. From then on
-// their leases are not renewed, and run out.
+// their leases are not renewed, and run out. It must see every document that is
+// installed: a member may be evicted again after it came back.
 func (m *Machine) trackEvictions() {
+	evictedAt := m.leadership.evictedAt
+	maps.DeleteFunc(evictedAt, func(name string, _ clock.Mono) bool {
+		mem := m.doc.Members[name]
+		return mem == nil || !mem.Evicted
+	})
 	for name, mem := range m.doc.Members {
-		if _, known := m.leadership.evictedAt[name]; mem.Evicted && !known {
-			m.leadership.evictedAt[name] = m.now
-		} else if !mem.Evicted {
-			delete(m.leadership.evictedAt, name)
+		if _, known := evictedAt[name]; mem.Evicted && !known {
+			evictedAt[name] = m.now
 		}
 	}
 }
--- /dev/null
+++ b/internal/fleet/lost_answer_test.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fulmarhinge/internal/platform"
+)
+
+// lateAnswers are the ways in which a write ends whose effect its node reads first.
+var lateAnswers = []struct {
+	name  string
+	event func(version uint64) DocumentWritten
+}{
+	{"resolved", func(version uint64) DocumentWritten { return DocumentWritten{Version: version} }},
+	{"unknown", func(uint64) DocumentWritten { return DocumentWritten{Err: platform.ErrUnknown.New("lost")} }},
+}
+
+// forEachLateAnswer runs a test for some seeds and each way in which a write can end.
+func forEachLateAnswer(t *testing.T, run func(t *testing.T, seed int64, event func(version uint64) DocumentWritten)) {
+	for _, answer := range lateAnswers {
+		for seed := int64(1); seed <= 8; seed++ {
+			t.Run(fmt.Sprintf("%s/%d", answer.name, seed), func(t *testing.T) {
+				t.Parallel()
+				run(t, seed, answer.event)
+			})
+		}
+	}
+}
+
+// awaitFor runs the simulation until the condition holds, at most for the given time.
+func (s *sim) awaitFor(t *testing.T, limit time.Duration, what string, condition func() bool) {
+	t.Helper()
+	for end := s.now.Add(limit); !condition(); {
+		if s.now >= end {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		s.runUntil(s.now.Add(10 * time.Millisecond))
+	}
+}
+
+// follower returns a node that does not lead.
+func (s *sim) follower() *simNode {
+	for _, n := range s.nodes {
+		if n.up && n != s.leader() {
+			return n
+		}
+	}
+	return nil
+}
+
+// TestSecondEvictionWaitsForLease guards against rows that are given on under the lease of a member that was evicted,
+// came back and was evicted again, because the answer to the write that took the first eviction back came late.
+func TestSecondEvictionWaitsForLease(t *testing.T) {
+	forEachLateAnswer(t, func(t *testing.T, seed int64, event func(uint64) DocumentWritten) {
+		s := newStableSim(seed, 4)
+		s.runUntil(s.now.Add(8 * time.Second))
+		n, leader := s.follower(), s.leader()
+		evicted := func() bool { return leader.machine.doc.Members[n.name].Evicted }
+		s.partitionNode(n, 2200*time.Millisecond)
+		s.awaitFor(t, 3*time.Second, "the member is evicted", evicted)
+		s.answerLate = func(doc *Document) func(uint64) DocumentWritten {
+			if doc.Members[n.name].Evicted {
+				return nil
+			}
+			return event
+		}
+		s.awaitFor(t, 3*time.Second, "the eviction is taken back", func() bool { return !evicted() })
+		s.answerLate = nil
+		s.runUntil(s.now.Add(3 * time.Second))
+		if s.leader() != leader {
+			t.Fatal("the leadership has changed")
+		}
+		s.partitionNode(n, 8*time.Second)
+		s.runUntil(s.now.Add(8 * time.Second))
+		reportViolations(t, seed, s)
+	})
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -441,9 +441,7 @@
 	if len(m.recentDocuments) > maxRecentDocuments {
 		m.recentDocuments = m.recentDocuments[1:]
 	}
-	if m.leadership != nil && (doc.Leader != m.params.Self || doc.Resigned) {
-		m.stepDown()
-	}
+	m.updateLeadership()
 	m.local.prune(doc, m.params.Self.Name)
 	if m.hasLeft(m.local.server.Instance) {
 		// The server's departure was announced to an earlier process of this node.
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -38,6 +38,9 @@
 	// for the configuration.
 	storeCalls, configCalls int
 	config                  simConfig
+	// answerLate returns how a write of this document ends long after it took effect;
+	// nil for writes that are answered at once. It may be nil.
+	answerLate func(*Document) func(version uint64) DocumentWritten
 	// epochs holds the highest epoch with which each key was held.
 	epochs []simEpoch
 }
@@ -372,6 +375,12 @@
 			return
 		}
 		version := s.store.put(s.now, w)
+		if end := s.lateAnswer(w); version > 0 && end != nil {
+			e := end(version)
+			e.SentAt = sent
+			n.answer(processRun, s.randomDuration(2000, 4000), e)
+			return
+		}
 		switch {
 		case lost && late == 0:
 			n.answer(processRun, s.randomDuration(1000, 4000), DocumentWritten{SentAt: sent, Err: platform.ErrUnknown.New("lost")})
@@ -387,6 +396,18 @@
 	}
 }
 
+// lateAnswer returns how a write ends if its answer comes late, else nil.
+func (s *sim) lateAnswer(w *Write) func(version uint64) DocumentWritten {
+	if s.answerLate == nil {
+		return nil
+	}
+	doc, err := Decode(w.Value)
+	if err != nil {
+		return nil
+	}
+	return s.answerLate(doc)
+}
+
 // simServer is a backend server that enforces its own hold. Its clock runs 2%
 // slow, so a hold lasts longer than granted.
 type simServer struct {
