Fleet: a document of the next era begins a term, also when read first

Cause: a leader that writes the first document of an era raises its term. If a read shows that document before the answer to the write, the node went on with what it knew in the earlier term: leases of before the rollback counted as run out at once, and rows that their owners had not confirmed got new epochs while others could still hold them.

Change: an installed document of this node with another term than that of the leadership begins the leadership anew.

--- a/internal/fleet/leader.go
+++ b/internal/fleet/leader.go
@@ -102,26 +102,35 @@
 	if m.leadership == nil {
 		return
 	}
-	if m.doc.Leader != m.params.Self || m.doc.Resigned {
+	switch {
+	case m.doc.Leader != m.params.Self || m.doc.Resigned:
 		m.stepDown()
-		return
+	case m.leadership.term != m.doc.Term:
+		// What the earlier term knew of leases and members does not hold in this one.
+		m.beginLeadership()
+	default:
+		m.trackEvictions()
 	}
-	m.trackEvictions()
 }
 
 // confirmLeadership handles a successful write that made or kept this node the
 // leader.
 func (m *Machine) confirmLeadership(sentAt clock.Mono) {
 	if m.leadership == nil || m.leadership.term != m.doc.Term {
-		m.leadership = m.newLeadership()
-		m.leadership.predecessorEnded = m.predecessorEnded
-		m.resuming = nil
-		m.note("leadership held", "term", m.doc.Term, "version", platform.FormatVersion(m.version), "members", len(m.doc.Members))
-		m.sendStatusNow()
+		m.beginLeadership()
 	}
 	m.leadership.proofAt = max(m.leadership.proofAt, sentAt)
 	m.leadership.lastCallUnanswered = false
+}
+
+// beginLeadership begins the term of the current document, which this node has won.
+func (m *Machine) beginLeadership() {
+	m.leadership = m.newLeadership()
+	m.leadership.predecessorEnded = m.predecessorEnded
+	m.resuming = nil
 	m.trackEvictions()
+	m.note("leadership held", "term", m.doc.Term, "version", platform.FormatVersion(m.version), "members", len(m.doc.Members))
+	m.sendStatusNow()
 }
 
 func (m *Machine) newLeadership() *leadership {
--- a/internal/fleet/lost_answer_test.go
+++ b/internal/fleet/lost_answer_test.go
@@ -77,3 +77,28 @@
 		reportViolations(t, seed, s)
 	})
 }
+
+// TestRecoveredDocumentStartsLeadership guards against rows that are given on under leases of before a rollback of the
+// store, because the leader read the document that it had written for the new era before the answer to the write came.
+func TestRecoveredDocumentStartsLeadership(t *testing.T) {
+	forEachLateAnswer(t, func(t *testing.T, seed int64, event func(uint64) DocumentWritten) {
+		s := newStableSim(seed, 4)
+		s.runUntil(s.now.Add(8 * time.Second))
+		leader := s.leader()
+		s.answerLate = func(doc *Document) func(uint64) DocumentWritten {
+			if !doc.Recovered {
+				return nil
+			}
+			return event
+		}
+		s.store.rollback(s.now.Add(-3 * time.Second))
+		s.awaitFor(t, 5*time.Second, "the document of the new era is known", func() bool { return leader.machine.doc.Recovered })
+		s.answerLate = nil
+		known := s.now
+		s.awaitFor(t, 20*time.Second, "the recovery ends", func() bool { return !s.leader().machine.doc.Recovered })
+		if took := s.now.Sub(known); took < DefaultTiming().Lease {
+			t.Errorf("the recovery ended after %v, leases last %v", took, DefaultTiming().Lease)
+		}
+		reportViolations(t, seed, s)
+	})
+}
