Fleet: a write whose effect was read is not undecided

Callers would see keys without an owner for longer: a leader with an undecided write promises nothing while the platform does not answer, so its restarted process cannot resume the term.

Cause: a lost answer was recorded against the version that the node has when the answer is given up, even if a read has shown a later document since. No write that expects the earlier version can take effect any more.

Change: a write is undecided only while the document has the version that the write expects. TestUndecidedWrites set the write in flight by hand and now goes through update, so that it has that version; its checks are the same.

Measured: TestDecidedWriteIsNotUndecided failed (1 write undecided), passes now, as does the package.

--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -129,7 +129,9 @@
 		larger.Members[name] = &Member{MemberRef: cluster.MemberRef{Name: name, Incarnation: 1}}
 	}
 	for _, doc := range []*Document{larger, m.doc.clone()} {
-		m.pendingWrite = doc
+		m.update(doc)
+		// Neither write reaches the platform.
+		m.Ready()
 		leader.step(DocumentWritten{Err: platform.ErrUnknown.New("lost")})
 	}
 	s.runUntil(s.now.Add(DefaultTiming().MaxProofAge + time.Second))
--- a/internal/fleet/lost_answer_test.go
+++ b/internal/fleet/lost_answer_test.go
@@ -102,3 +102,23 @@
 		reportViolations(t, seed, s)
 	})
 }
+
+// TestDecidedWriteIsNotUndecided guards against a leader that promises nothing in an outage, and so cannot be resumed
+// after a restart, because it takes a write for undecided whose effect it has read.
+func TestDecidedWriteIsNotUndecided(t *testing.T) {
+	s := newStableSim(1, 3)
+	leader := s.leader()
+	m := leader.machine
+	m.update(m.doc.clone())
+	written := m.pendingWrite
+	m.Step(s.now, DocumentRead{
+		Object: platform.Object{Version: m.version + 1, Value: written.Encode()}, Era: m.era, SentAt: s.now,
+	})
+	if m.doc.ChangeID != written.ChangeID {
+		t.Fatal("the read document is not in force")
+	}
+	m.Step(s.now, DocumentWritten{Err: platform.ErrUnknown.New("lost")})
+	if n := len(m.undecidedWrites()); n != 0 {
+		t.Errorf("%d writes are undecided", n)
+	}
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -155,9 +155,11 @@
 	// lastReadAt is when the last successful read was sent.
 	lastReadAt clock.Mono
 	// pendingWrite is the document of the write in flight, nil if there is
-	// none.
-	pendingWrite    *Document
-	pendingWriteEra uint64
+	// none. The write is for the document of pendingWriteEra and expects the version
+	// pendingWriteExpected.
+	pendingWrite         *Document
+	pendingWriteEra      uint64
+	pendingWriteExpected uint64
 	// undecided holds writes whose answers were lost. Any of them may still
 	// take effect while the document has the version undecidedVersion, which
 	// they expect.
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -19,8 +19,12 @@
 	return out
 }
 
-// recordUndecided records a write whose answer was lost.
+// recordUndecided records a write whose answer was lost, unless the document has changed
+// since: then it has taken effect before the change, or it never will.
 func (m *Machine) recordUndecided(doc *Document) {
+	if m.pendingWriteExpected != m.version {
+		return
+	}
 	if m.undecidedVersion != m.version {
 		m.undecided, m.undecidedVersion = nil, m.version
 	}
@@ -63,7 +67,7 @@
 	m.changeSeq++
 	doc.ChangeID = fmt.Sprintf("%s-%s-%d", m.params.Self.Name, m.params.Nonce, m.changeSeq)
 	m.pendingWrite = doc
-	m.pendingWriteEra = era
+	m.pendingWriteEra, m.pendingWriteExpected = era, expected
 	m.ready.Write = &Write{Era: era, Expected: expected, Value: doc.Encode()}
 }
 
