Fleet: a change that is read first is sent to the members

Callers would see keys move later: members learn of a change with their next status only.

Cause: the change was sent on when its write was confirmed, and a read that shows it before left that out.

Change: it is sent when the document is installed.

Measured: TestReadChangeIsSentToMembers failed (0 of 2 members), passes now, as does the package.

--- a/internal/fleet/lost_answer_test.go
+++ b/internal/fleet/lost_answer_test.go
@@ -122,3 +122,25 @@
 		t.Errorf("%d writes are undecided", n)
 	}
 }
+
+// TestReadChangeIsSentToMembers guards against members that learn of a change only with their next status, because the
+// leader read its own change before the answer to the write came.
+func TestReadChangeIsSentToMembers(t *testing.T) {
+	s := newStableSim(1, 3)
+	m := s.leader().machine
+	m.update(m.doc.clone())
+	written := m.pendingWrite
+	m.Ready()
+	m.Step(s.now, DocumentRead{
+		Object: platform.Object{Version: m.version + 1, Value: written.Encode()}, Era: m.era, SentAt: s.now,
+	})
+	changes := 0
+	for _, out := range m.Ready().Messages {
+		if c := out.Body.GetDocumentChange(); c.GetChangeId() == written.ChangeID {
+			changes++
+		}
+	}
+	if changes != 2 {
+		t.Errorf("the change was sent to %d of 2 members", changes)
+	}
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -444,6 +444,9 @@
 		m.recentDocuments = m.recentDocuments[1:]
 	}
 	m.updateLeadership()
+	if doc.Leader == m.params.Self {
+		m.broadcast()
+	}
 	m.local.prune(doc, m.params.Self.Name)
 	if m.hasLeft(m.local.server.Instance) {
 		// The server's departure was announced to an earlier process of this node.
--- a/internal/fleet/write.go
+++ b/internal/fleet/write.go
@@ -98,11 +98,7 @@
 	}
 	m.verified = true
 	m.installDocument(doc, e.Version)
-	if m.doc != doc || doc.Leader != m.params.Self {
-		return
-	}
-	if !doc.Resigned {
+	if m.doc == doc && doc.Leader == m.params.Self && !doc.Resigned {
 		m.confirmLeadership(e.SentAt)
 	}
-	m.broadcast()
 }
