Fleet: a claim that is read first begins the leadership

Callers would see keys lapse: no member leads until the answer to the claim comes, 4 s at most, although all others follow the claimant.

Cause: only the answer to the write began the leadership, and the next claim waits for that answer too.

Change: a read that shows the claim in flight begins it.

--- a/internal/fleet/read.go
+++ b/internal/fleet/read.go
@@ -94,6 +94,10 @@
 	if e.Object.Version < m.version {
 		return
 	}
+	if m.leadership == nil && m.pendingWrite != nil && m.doc.ChangeID == m.pendingWrite.ChangeID && !m.doc.Resigned {
+		// The claim in flight has taken effect.
+		m.beginLeadership()
+	}
 	if m.leadership != nil {
 		m.leadership.proofAt = max(m.leadership.proofAt, e.SentAt)
 		return
