Upstream: a late copy of a rejection is no answer to a later sending

Cause: a response was matched to its request by the id alone. A rejected request is sent once more with the same id, often on the same connection, and the second copy of its rejection was taken for the answer to the run. A rejection without an id was taken for any request's.

Change: a connection carries each request id once and remembers the ids, up to 1,024 requests; a rejection without an id counts on a connection that has carried no other request. A request without an id gets a connection of its own.

The connection, not a time, is what separates the copies, so no delay of a copy matters.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/semaphore"
 )
@@ -94,7 +95,7 @@
 // Do sends a request and returns the whole response. Errors are of class
 // ErrNotSent or ErrUnknownOutcome.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	cn, err := c.pool.get(ctx, !r.Idempotent)
+	cn, err := c.connection(ctx, r)
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err)
 	}
@@ -111,6 +112,20 @@
 	return resp, err
 }
 
+// connection returns the connection for a request. One without an id gets a connection of
+// its own, as nothing else tells its answer from that to another request.
+func (c *Client) connection(ctx context.Context, r *Request) (*conn, error) {
+	if r.ID == "" {
+		return c.pool.dial(ctx)
+	}
+	id := xxhash.Sum64String(r.ID)
+	cn, err := c.pool.get(ctx, id, !r.Idempotent)
+	if err == nil {
+		cn.carried = append(cn.carried, id)
+	}
+	return cn, err
+}
+
 // exchange writes the request and reads the response. The second result reports
 // whether the connection can be reused.
 func (c *Client) exchange(ctx context.Context, cn *conn, r *Request) (*Response, bool, error) {
@@ -181,7 +196,7 @@
 	out.NotRun = resp.Header.Get(c.headers.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
 	id := resp.Header.Get(c.headers.RequestID)
 	switch {
-	case id != "" && id != r.ID:
+	case id != r.ID && (id != "" || len(cn.carried) > 1):
 		return nil, false, ErrUnknownOutcome.Wrap(errOtherRequest)
 	case out.NotRun:
 	case id == "":
@@ -196,7 +211,7 @@
 		out.Notice, out.NoticeErr = &n, err
 	}
 	cn.idleLimit = keepAliveTimeout(resp.Header)
-	reusable := !resp.Close && cn.br.Buffered() == 0 && cn.idleLimit > 0
+	reusable := !resp.Close && cn.br.Buffered() == 0 && cn.idleLimit > 0 && r.ID != "" && len(cn.carried) < maxRequestsPerConn
 	return out, reusable, nil
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,6 +33,9 @@
 	// states.
 	keepAliveMargin = time.Second
 	readBufferBytes = 16 << 10
+	// maxRequestsPerConn is the number of requests after which a connection is closed:
+	// it remembers all of them.
+	maxRequestsPerConn = 1024
 	// maxHeadBytes bounds the head of a response, interim responses included.
 	maxHeadBytes = 64 << 10
 )
@@ -68,8 +72,16 @@
 	// is not used again.
 	idleSince time.Time
 	idleLimit time.Duration
+	// carried holds the hashes of the ids of all requests that were sent on the
+	// connection.
+	carried []uint64
 }
 
+// hasCarried reports whether a request with this id was sent on the connection. The server
+// may send an answer a second time, so a request that is sent once more must use another
+// connection: by its id, a late copy of its earlier answer is its answer.
+func (c *conn) hasCarried(id uint64) bool { return slices.Contains(c.carried, id) }
+
 // pool keeps the idle connections to one address as a stack, the most recently
 // used on top.
 type pool struct {
@@ -79,10 +91,11 @@
 	closed  bool
 }
 
-// get returns an idle connection that is still usable, or a new one.
-func (p *pool) get(ctx context.Context, nonIdempotent bool) (*conn, error) {
+// get returns an idle connection that is still usable and has not carried a request with
+// this id, or a new one.
+func (p *pool) get(ctx context.Context, id uint64, nonIdempotent bool) (*conn, error) {
 	for {
-		c := p.pop()
+		c := p.pop(id)
 		if c == nil {
 			break
 		}
@@ -137,16 +150,18 @@
 	return err
 }
 
-func (p *pool) pop() *conn {
+// pop takes the most recently used connection that has not carried a request with this id
+// off the stack; nil if there is none.
+func (p *pool) pop(id uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; !c.hasCarried(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
 func (p *pool) put(c *conn) {
