Upstream: a success that states that it was not run is no rejection

Callers would see a request run twice: the router sends a rejected request once more.

Cause: the header decided alone, whatever the status said.

Change: such a response counts as broken, and the outcome as unknown.

Measured: TestRejectionWithSuccessStatus failed, passes now.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -179,6 +179,8 @@
 	errOtherRequest = errors.New("the answer belongs to another request")
 	errEncoded      = errors.New("the answer is encoded")
 	errNoProof      = errors.New("the answer lacks the server's proof")
+	// errContradiction is a success that states that the request was not run.
+	errContradiction = errors.New("the answer contradicts itself")
 )
 
 // receive reads a response and checks that it is complete and belongs to the
@@ -198,6 +200,8 @@
 	switch {
 	case id != r.ID && (id != "" || len(cn.carried) > 1):
 		return nil, false, ErrUnknownOutcome.Wrap(errOtherRequest)
+	case out.NotRun && resp.StatusCode/100 == 2:
+		return nil, false, ErrUnknownOutcome.Wrap(errContradiction)
 	case out.NotRun:
 	case id == "":
 		return nil, false, ErrUnknownOutcome.Wrap(errOtherRequest)
--- a/internal/upstream/late_copy_test.go
+++ b/internal/upstream/late_copy_test.go
@@ -67,6 +67,17 @@
 	}
 }
 
+// TestRejectionWithSuccessStatus guards against a request that is sent again after a success: a response that names both
+// is no statement that the request was not run.
+func TestRejectionWithSuccessStatus(t *testing.T) {
+	client, _ := newScriptedServer(t, func(c net.Conn, r *http.Request, _ int) {
+		fmt.Fprint(c, response(r.Header.Get("Id"), "Not-Run: 1\r\n", "hello"))
+	})
+	if resp, err := client.Do(context.Background(), request("r1")); !ErrUnknownOutcome.Has(err) {
+		t.Errorf("got %v, %v; expected an unknown outcome", resp, err)
+	}
+}
+
 // TestConnectionCarriesBoundedRequests checks that a connection is replaced before what it remembers grows without bound.
 func TestConnectionCarriesBoundedRequests(t *testing.T) {
 	client, accepted := newScriptedServer(t, func(c net.Conn, r *http.Request, _ int) {
