Gate: a refusal status is passed on only with the server's statement

Callers would take a request for not run that a backend server had run: they read 408, 429 and 503 as that promise (REFUSED), and the gate passed these statuses on as answers even without the header that states it.

Measured: TestRefusalStatusWithoutStatement failed for each of three statuses, passes now.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -375,12 +376,16 @@
 		out := refuse(result.BackendShed, 0)
 		out.Offered = true
 		out.Status = uint32(resp.Status)
-		if resp.Status == statusMisdirected {
+		if resp.Status == http.StatusMisdirectedRequest {
 			g.misdirected.add(r.key)
 			out.Code = uint32(result.StaleFence)
 			return out, nil, r.key != noKey
 		}
 		return out, nil, false
+	case statesNotRun(resp.Status):
+		out := refuse(result.AnswerCut, 0)
+		out.Offered, out.Status, out.Message = true, uint32(resp.Status), "the answer's status states that the request was not run, the server does not"
+		return out, nil, false
 	}
 	r.answered()
 	g.loads.addServed(serviceTime)
@@ -413,7 +418,15 @@
 	}
 }
 
-const statusMisdirected = 421
+// statesNotRun reports whether callers take a status for a statement that the request was
+// not run and will not be. It is no such statement of the server without its header.
+func statesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
 
 // unknownOutcome returns the response for a request that was sent and got no
 // usable response.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -133,6 +133,18 @@
 	}
 }
 
+// TestRefusalStatusWithoutStatement guards against a caller that is told that its request was not run although it was: the
+// server answered with a status that says so, and without the header that states it.
+func TestRefusalStatusWithoutStatement(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		server := &backend{respond: func(w http.ResponseWriter, _ *http.Request, _ int64) { w.WriteHeader(status) }}
+		h, _ := newGate(t, server, always(true)).Do(context.Background(), head("5"), nil)
+		if code := result.Code(h.GetCode()); result.Lookup(code).Kind != result.Unknown {
+			t.Errorf("status %d: got code %d, expected one that leaves open whether the request was run", status, code)
+		}
+	}
+}
+
 // TestWaitForGrant checks that a request waits for a key that is granted soon.
 func TestWaitForGrant(t *testing.T) {
 	g := newGate(t, &backend{}, always(true))
