Fleet: a deregistration is kept whether or not its server is known

Cause: a deregistration was dropped unless the node knew a live server with that id, and acknowledged in any case. A server that had been silent for 1.5 s is not live for the node. Its late report, sent before, then made it ready again. The same held for a node that had just started, for a statement of leaving in answers, and for a node that was stopping, which acknowledges without a record.

Change: departures are kept by server id with the latest start that they cover, so that a later instance is not affected, and adopted from the document. A server that has left stays in the node's status, and so in the document, until the next one starts. The gate counts the drain period from the acknowledgement, and takes it for over if an earlier process gave that.

The soak gets a fault that deregisters a silent server before its late report.

--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -68,12 +68,16 @@
 		Name: m.Name, Incarnation: m.Incarnation, Addr: m.Addr, Zone: m.Zone, Tenure: m.Generation,
 		Evicted: m.Evicted, Leaving: m.Leaving, Weight: m.Weight, OperatorAddr: m.OperatorAddr,
 	}
-	if s := m.Server; s != nil {
-		out.Server = &wire.BackendServer{Id: s.ID, BornMs: s.StartedMs, Service: s.Service, Slots: uint32(s.Slots), Ready: s.Ready}
+	if m.Server != nil {
+		out.Server = encodeServer(m.Server)
 	}
 	return out
 }
 
+func encodeServer(s *Server) *wire.BackendServer {
+	return &wire.BackendServer{Id: s.ID, BornMs: s.StartedMs, Service: s.Service, Slots: uint32(s.Slots), Ready: s.Ready}
+}
+
 // Apply returns the document after a change, or an error if the change does not
 // apply to the given one.
 func Apply(from *Document, c *wire.DocumentChange) (*Document, error) {
--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -109,11 +109,14 @@
 	// meanServiceMs is the moving average of the service time.
 	meanServiceMs float64
 	limit         serverLimit
+	// departures holds the departures of servers by their ids.
+	departures map[string]departure
 }
 
 func newLocalServer(earlierGrantsUntil clock.Mono) localServer {
 	return localServer{
 		earlierGrantsUntil: earlierGrantsUntil, grantedUntil: map[span]clock.Mono{}, releaseTokens: map[span]string{},
+		departures: map[string]departure{},
 	}
 }
 
@@ -144,7 +147,15 @@
 // recordServer records the server's description of itself.
 func (m *Machine) recordServer(r Report) {
 	l := &m.local
-	server := Server{Instance: r.Instance, Service: r.Service, Slots: r.Slots, Ready: r.Ready && !m.hasLeft(r.Instance)}
+	if !r.Ready {
+		since := m.now
+		if l.server.Instance != r.Instance {
+			// An earlier process of this node may have acknowledged such a report.
+			since = m.now.Add(-earlierDeparture)
+		}
+		m.recordDeparture(r.ID, r.StartedMs, since)
+	}
+	server := Server{Instance: r.Instance, Service: r.Service, Slots: r.Slots, Ready: !m.hasLeft(r.Instance)}
 	if l.server.StartedMs != 0 && l.server.Instance != r.Instance {
 		m.giveUpRows("the backend server has restarted")
 	}
@@ -162,19 +173,6 @@
 	l.lastReportAt = m.now
 }
 
-// hasLeft reports whether a server instance is known to be leaving, to this process or
-// in the document. An instance that leaves does not come back, whatever it reports.
-func (m *Machine) hasLeft(instance Instance) bool {
-	if s := m.local.server; s.Instance == instance && !s.Ready {
-		return true
-	}
-	if m.doc == nil {
-		return false
-	}
-	self := m.doc.Members[m.params.Self.Name]
-	return self != nil && self.Server != nil && self.Server.Instance == instance && !self.Server.Ready
-}
-
 // Server returns the local backend server as this node knows it.
 func (m *Machine) Server() Server { return m.local.server }
 
@@ -392,17 +390,6 @@
 	m.giveUpRows("the backend server's address refuses connections")
 }
 
-// Deregister records that the server is leaving and will not report again. It
-// returns false if no server with that id is known to be running.
-func (m *Machine) Deregister(now clock.Mono, id string) bool {
-	m.now = max(m.now, now)
-	if !m.local.alive || m.local.server.ID != id {
-		return false
-	}
-	m.serverLeaves()
-	return true
-}
-
 // prune drops the releases and grants of rows that the document no longer
 // assigns to this node under the same epoch.
 func (l *localServer) prune(doc *Document, self string) {
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -448,10 +448,7 @@
 		m.broadcast()
 	}
 	m.local.prune(doc, m.params.Self.Name)
-	if m.hasLeft(m.local.server.Instance) {
-		// The server's departure was announced to an earlier process of this node.
-		m.local.server.Ready = false
-	}
+	m.adoptDeparture()
 	if newEra && doc.Recovered {
 		m.releaseUngranted()
 	}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -51,11 +51,8 @@
 		s.HasLoads = true
 		s.Loads = m.local.loads
 	}
-	if m.local.alive {
-		s.Server = &wire.BackendServer{
-			Id: m.local.server.ID, BornMs: m.local.server.StartedMs, Service: m.local.server.Service,
-			Slots: uint32(m.local.server.Slots), Ready: m.local.server.Ready,
-		}
+	if server := m.reportedServer(); server != nil {
+		s.Server = encodeServer(server)
 	}
 	return s
 }
--- a/internal/fleet/notice.go
+++ b/internal/fleet/notice.go
@@ -42,25 +42,16 @@
 	return serverLimit{s.GetLimited(), s.GetLimit()}
 }
 
-// serverLeaves records that the server is leaving.
-func (m *Machine) serverLeaves() {
-	if m.local.server.Ready {
-		m.local.server.Ready = false
-		m.note("backend server is leaving", "id", m.local.server.ID)
-		m.sendStatusNow()
-	}
-}
-
 // handleServerNotice records what the server has stated in its responses. The leader
 // learns the limit with the next status, and moves load off the server.
 func (m *Machine) handleServerNotice(e ServerNotice) {
 	l := &m.local
+	if e.Leaving && e.Instance.StartedMs != 0 {
+		m.recordDeparture(e.Instance.ID, e.Instance.StartedMs, m.now)
+	}
 	if !l.alive || l.server.Instance != e.Instance {
 		return
 	}
-	if e.Leaving {
-		m.serverLeaves()
-	}
 	if l.limit.named != e.Limited {
 		// A change of the value goes with the next status: a server may name
 		// another one in each answer.
--- a/internal/gate/notice.go
+++ b/internal/gate/notice.go
@@ -32,16 +32,17 @@
 	leavingSince time.Time
 }
 
-// SetServer replaces the server; nil means that there is none.
-func (g *Gate) SetServer(s *fleet.Server) {
+// SetServer replaces the server; nil means that there is none. LeavingSince is since when a
+// server that is not ready is known to leave.
+func (g *Gate) SetServer(s *fleet.Server, leavingSince time.Time) {
 	g.notices.mu.Lock()
-	g.setServer(s)
+	g.setServer(s, leavingSince)
 	g.notices.mu.Unlock()
 	g.wake()
 }
 
 // setServer replaces the server. The caller holds the lock of the notices.
-func (g *Gate) setServer(s *fleet.Server) {
+func (g *Gate) setServer(s *fleet.Server, leavingSince time.Time) {
 	if old := g.server.Load(); old != nil && (s == nil || s.Instance != old.Instance) {
 		// Connections of its requests may break a moment later than its end is known.
 		time.AfterFunc(breakGatherTime, func() { g.serverEnded(old.Instance) })
@@ -55,8 +56,8 @@
 		n.instance, n.answered, n.leavingSince = s.Instance, false, time.Time{}
 		g.setLimit(false, 0)
 	}
-	if !s.Ready && n.leavingSince.IsZero() {
-		n.leavingSince = time.Now()
+	if !s.Ready && (n.leavingSince.IsZero() || leavingSince.Before(n.leavingSince)) {
+		n.leavingSince = leavingSince
 	}
 	updated := &Server{Server: *s, leavingSince: n.leavingSince}
 	updated.Ready = n.leavingSince.IsZero()
@@ -64,23 +65,22 @@
 	g.server.Store(updated)
 }
 
-// MarkLeaving marks the server as leaving, for a server that leaves without
-// reporting it.
-func (g *Gate) MarkLeaving() {
+// MarkLeaving marks the server as leaving since the given time, unless it leaves already or
+// is another instance.
+func (g *Gate) MarkLeaving(instance fleet.Instance, since time.Time) {
 	g.notices.mu.Lock()
 	defer g.notices.mu.Unlock()
-	g.markLeaving(time.Now())
+	g.markLeaving(instance, since)
 }
 
-// markLeaving marks the server as leaving since the given time, unless it leaves already.
-// The caller holds the lock of the notices.
-func (g *Gate) markLeaving(since time.Time) {
+// markLeaving is MarkLeaving for a caller that holds the lock of the notices.
+func (g *Gate) markLeaving(instance fleet.Instance, since time.Time) {
 	s := g.server.Load()
-	if s == nil || s.Instance != g.notices.instance || !g.notices.leavingSince.IsZero() {
+	if s == nil || s.Instance != instance || g.notices.instance != instance || !g.notices.leavingSince.IsZero() {
 		return
 	}
 	g.notices.leavingSince = since
-	g.setServer(&s.Server)
+	g.setServer(&s.Server, since)
 	g.wake()
 }
 
@@ -102,7 +102,7 @@
 	}
 	if resp.Notice.Leaving && n.leavingSince.IsZero() {
 		g.log.Info("backend server states in its answers that it leaves", "server", instance.ID, "born", instance.StartedMs)
-		g.markLeaving(time.Now())
+		g.markLeaving(instance, time.Now())
 	}
 }
 
@@ -163,7 +163,7 @@
 	if peers.GetLeaving() && n.leavingSince.IsZero() {
 		age := time.Duration(min(max(peers.GetLeavingMs(), 0), maxLeavingAgeMs)) * time.Millisecond
 		g.log.Info("leaving of the backend server adopted from a peer", "server", n.instance.ID, "age_ms", age.Milliseconds())
-		g.markLeaving(time.Now().Add(-age))
+		g.markLeaving(n.instance, time.Now().Add(-age))
 	}
 }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -118,7 +118,8 @@
 		}
 		l.lastReport = time.Now()
 		server := l.node.machine.Server()
-		l.node.gate.SetServer(&server)
+		since, _ := l.leavingSince(server.Instance)
+		l.node.gate.SetServer(&server, since)
 	})
 	if !ok {
 		return fleet.Grant{Stale: true}
@@ -126,16 +127,30 @@
 	return g
 }
 
-// handleDeregistration handles the backend server's announcement that it is leaving.
-// It reports whether the id is known.
-func (l *controlLoop) handleDeregistration(id string) bool {
-	known := false
+// handleDeregistration handles the backend server's announcement that it is leaving. It
+// reports whether that is recorded.
+func (l *controlLoop) handleDeregistration(id string, startedBy int64) bool {
+	recorded := false
 	l.runSync(func() {
-		if known = l.node.machine.Deregister(clock.Now(), id); known {
-			l.node.gate.MarkLeaving()
-		}
+		l.node.machine.Deregister(clock.Now(), id, startedBy)
+		l.markLeaving()
+		recorded = true
 	})
-	return known
+	return recorded
+}
+
+// markLeaving tells the gate if the server that it has is known to be leaving.
+func (l *controlLoop) markLeaving() {
+	instance := l.serverInstance()
+	if since, left := l.leavingSince(instance); left {
+		l.node.gate.MarkLeaving(instance, since)
+	}
+}
+
+// leavingSince returns since when a server instance is known to be leaving.
+func (l *controlLoop) leavingSince(instance fleet.Instance) (time.Time, bool) {
+	since, left := l.node.machine.LeavingSince(instance)
+	return time.Now().Add(-clock.Now().Sub(since)), left
 }
 
 // notifyBackendDown queues the event that the backend server's address refuses
@@ -194,7 +209,7 @@
 	}
 	if serverDown, ok := e.(fleet.ServerDown); ok && serverDown.Instance == l.serverInstance() && serverDown.Instance.StartedMs != 0 {
 		l.node.log.Warn("backend server down", "id", serverDown.Instance.ID, "born", serverDown.Instance.StartedMs)
-		l.node.gate.SetServer(nil)
+		l.node.gate.SetServer(nil, time.Time{})
 	}
 	l.node.machine.Step(clock.Now(), e)
 }
@@ -288,6 +303,7 @@
 		n.gate.SetHeld(r.Held)
 	}
 	if r.Document != nil {
+		l.markLeaving()
 		if !l.suspectsLoaded {
 			n.suspects.Merge(clock.Now(), r.Document.Quarantined)
 			l.suspectsLoaded = true
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -54,7 +54,7 @@
 type ReportCallbacks struct {
 	Address, Service string
 	Report           func(fleet.Report) fleet.Grant
-	Deregister       func(id string) bool
+	Deregister       func(id string, startedBy int64) bool
 	Refused          func(why string)
 }
 
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -135,6 +135,21 @@
 			must(f.t, m.backend.Start())
 		}
 	}},
+	{"deregistered, with a late report", func(f *fleet, m *machine, rng *rand.Rand) func() {
+		m.backend.SuspendReports(true)
+		late := m.backend.HoldReport()
+		after := time.Duration(rng.Intn(3000)) * time.Millisecond
+		time.Sleep(time.Duration(rng.Intn(2500)) * time.Millisecond)
+		if m.backend.Deregister() {
+			f.checker.deregistered(m.name, m.backend.ID())
+		}
+		time.AfterFunc(after, func() { late() })
+		return func() {
+			m.backend.Stop()
+			m.backend.SuspendReports(false)
+			must(f.t, m.backend.Start())
+		}
+	}},
 	{"configuration changed", func(f *fleet, _ *machine, _ *rand.Rand) func() {
 		f.changeConfig()
 		return nil
--- a/test/soak/statements_test.go
+++ b/test/soak/statements_test.go
@@ -93,6 +93,15 @@
 	}
 }
 
+// deregistered records that a machine has acknowledged that a backend leaves.
+func (c *checker) deregistered(machine, backend string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := (told{machine, backend}); c.statements.leavingTold[t].IsZero() {
+		c.statements.leavingTold[t] = time.Now()
+	}
+}
+
 var machineOfID = regexp.MustCompile(`n\d+`)
 
 // checkStatements checks a request that reaches a backend against what the backend has
