Fleet: an odd sequence number does not hide a server

Callers would lose a backend server for good: after a report with a sequence number that is far off, all later ones are stale.

Change: a report that skips more than about a million numbers is stale itself.

Measured: TestReportWithOddSequenceNumber failed, passes now.

--- a/internal/fleet/departure_test.go
+++ b/internal/fleet/departure_test.go
@@ -128,3 +128,17 @@
 		t.Errorf("after a restart the server is known to leave since %v, expected a time before every drain period", age)
 	}
 }
+
+// TestReportWithOddSequenceNumber guards against a server whose reports are all stale after one odd one.
+func TestReportWithOddSequenceNumber(t *testing.T) {
+	s := newStableSim(1, 3)
+	m, srv := s.nodes[0].machine, s.nodes[0].server
+	report := Report{Instance: srv.instance, Service: "svc", Slots: 8, Ready: true, Seq: 1 << 52}
+	if !m.Report(s.now, report).Stale {
+		t.Error("a sequence number that is far off was accepted")
+	}
+	report.Seq = srv.seq + 1
+	if m.Report(s.now, report).Stale {
+		t.Error("the next report is stale")
+	}
+}
--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -19,6 +19,9 @@
 	// before its hold is checked. It reports about once a second, sometimes
 	// late.
 	serverSilenceTimeout = 1500 * time.Millisecond
+	// maxSeqStep bounds how many reports may be missing between two. A number that is
+	// far off would make all later reports stale.
+	maxSeqStep = 1 << 20
 )
 
 // Report is a liveness report of the local backend server.
@@ -141,7 +144,7 @@
 	if l.server.StartedMs == 0 || r.StartedMs > l.server.StartedMs {
 		return true
 	}
-	return r.Instance == l.server.Instance && r.Seq > l.lastSeq
+	return r.Instance == l.server.Instance && r.Seq > l.lastSeq && r.Seq-l.lastSeq <= maxSeqStep
 }
 
 // recordServer records the server's description of itself.
