Wire: a header that is not UTF-8 loses no request and no answer

Callers saw 502 although a backend server had answered: a message between nodes could not be encoded with such a header value. The text of an error that quotes what a server sent had the same effect.

Change: such a value has a field of its own, which older processes ignore. A request whose id or path is not UTF-8 is refused with 400.

Measured: TestHeadersThatAreNotUTF8 failed (502) with the old encoding, passes now.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"fulmarhinge/internal/admission"
 	"fulmarhinge/internal/disconnect"
 	"fulmarhinge/internal/fleet"
+	"fulmarhinge/internal/header"
 	"fulmarhinge/internal/quarantine"
 	"fulmarhinge/internal/result"
 	"fulmarhinge/internal/stopping"
@@ -440,7 +442,8 @@
 	}
 	out := refuse(code, 0)
 	out.Offered = true
-	out.Message = err.Error()
+	// The error may quote what the server sent.
+	out.Message = strings.ToValidUTF8(err.Error(), "?")
 	return out
 }
 
@@ -452,10 +455,10 @@
 	}
 	for _, h := range r.head.GetHeaders() {
 		if h.GetName() == "Host" {
-			out.Host = h.GetValue()
+			out.Host = header.Value(h)
 			continue
 		}
-		out.Header = append(out.Header, [2]string{h.GetName(), h.GetValue()})
+		out.Header = append(out.Header, [2]string{h.GetName(), header.Value(h)})
 	}
 	return out
 }
--- a/internal/gate/suspect.go
+++ b/internal/gate/suspect.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"fulmarhinge/internal/clock"
+	"fulmarhinge/internal/header"
 	"fulmarhinge/internal/quarantine"
 	"fulmarhinge/internal/result"
 	"fulmarhinge/internal/wire"
@@ -21,7 +22,7 @@
 	host := ""
 	for _, h := range r.head.GetHeaders() {
 		if h.GetName() == "Host" {
-			host = h.GetValue()
+			host = header.Value(h)
 			break
 		}
 	}
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+	"unicode/utf8"
 
 	"fulmarhinge/internal/wire"
 )
@@ -61,6 +62,22 @@
 	"Content-Length": true, "Expect": true,
 }
 
+// Encode returns a header in wire form. The bytes of a value have no stated encoding.
+func Encode(name, value string) *wire.Header {
+	if utf8.ValidString(value) {
+		return &wire.Header{Name: name, Value: value}
+	}
+	return &wire.Header{Name: name, RawValue: []byte(value)}
+}
+
+// Value returns the value of a header in wire form.
+func Value(h *wire.Header) string {
+	if raw := h.GetRawValue(); len(raw) > 0 {
+		return string(raw)
+	}
+	return h.GetValue()
+}
+
 // Forward returns the headers of h that may be forwarded, in wire form.
 func Forward(h http.Header) []*wire.Header {
 	listed := listedInConnection(h)
@@ -70,7 +87,7 @@
 			continue
 		}
 		for _, v := range values {
-			out = append(out, &wire.Header{Name: name, Value: v})
+			out = append(out, Encode(name, v))
 		}
 	}
 	return out
@@ -94,6 +111,6 @@
 // Apply adds headers in wire form to h.
 func Apply(h http.Header, headers []*wire.Header) {
 	for _, w := range headers {
-		h.Add(w.GetName(), w.GetValue())
+		h.Add(w.GetName(), Value(w))
 	}
 }
--- a/internal/ingress/serve.go
+++ b/internal/ingress/serve.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/disconnect"
@@ -96,6 +97,10 @@
 	case s.refusing.Load():
 		return refusal(result.Draining, 0), nil
 	}
+	if !utf8.ValidString(q.id) || !utf8.ValidString(q.http.RequestURI) {
+		// Neither can stand in a message between nodes.
+		return refusal(result.BadRequest, 0), nil
+	}
 	path, _, _ := strings.Cut(q.http.RequestURI, "?")
 	if q.route = cfg.Match(q.http.Host, path); q.route == nil {
 		return refusal(result.NoRoute, 0), nil
@@ -170,8 +175,7 @@
 		}
 	}
 	q.headers = append(q.headers,
-		&wire.Header{Name: "Host", Value: q.http.Host},
-		&wire.Header{Name: h.Caller, Value: q.server.cfg.Service})
+		header.Encode("Host", q.http.Host), header.Encode(h.Caller, q.server.cfg.Service))
 }
 
 // dispatch makes attempts until one succeeds or another attempt is not allowed or
@@ -391,9 +395,7 @@
 		case q.server.shouldLogServed():
 			q.server.outcomes.log.Info("request served", q.logFields(h)...)
 		}
-		for _, line := range h.GetHeaders() {
-			w.Header().Add(line.GetName(), line.GetValue())
-		}
+		header.Apply(w.Header(), h.GetHeaders())
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		w.WriteHeader(int(h.GetStatus()))
 		_, _ = w.Write(body)
--- a/internal/ingress/serve_test.go
+++ b/internal/ingress/serve_test.go
@@ -20,6 +20,7 @@
 	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/fleet"
+	"fulmarhinge/internal/header"
 	"fulmarhinge/internal/peer"
 	"fulmarhinge/internal/result"
 	"fulmarhinge/internal/route"
@@ -305,6 +306,34 @@
 	}
 }
 
+// TestHeadersThatAreNotUTF8 guards against a request or an answer that is lost because a header cannot be encoded in a
+// message between nodes.
+func TestHeadersThatAreNotUTF8(t *testing.T) {
+	const value = "caf\xe9"
+	got := make(chan string, 1)
+	gate := gateFunc(func(_ context.Context, h *wire.RequestHead, _ []byte) (*wire.ResponseHead, []byte) {
+		for _, line := range h.GetHeaders() {
+			if line.GetName() == "Own" {
+				got <- header.Value(line)
+			}
+		}
+		out, body := okResponse("fine")
+		out.Headers = append(out.Headers, header.Encode("Back", value))
+		return out, body
+	})
+	srv, _, _ := newTestServer(t, nil, fakePeers{"p1": gate, "p2": gate})
+	resp, body := sendRequest(t, srv, http.MethodGet, "/read/x", "r1", "", "Own", value)
+	if resp.StatusCode != http.StatusOK || body != "fine" || resp.Header.Get("Back") != value {
+		t.Fatalf("got %d, %q, header %q", resp.StatusCode, body, resp.Header.Get("Back"))
+	}
+	if v := <-got; v != value {
+		t.Errorf("the gate got the header %q", v)
+	}
+	if resp, _ := sendRequest(t, srv, http.MethodGet, "/read/x", "r\xe9", ""); resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("got %d for an id that is not UTF-8", resp.StatusCode)
+	}
+}
+
 // TestRefusedRequests checks that an oversized body is refused, and that a server
 // refuses every request after RefuseRequests or without a configuration.
 func TestRefusedRequests(t *testing.T) {
