Ingress: an answer of a peer needs a valid status

Callers would see their connection end without an answer: writing a status below 100 or above 999 panics in the server of callers.

--- a/internal/ingress/serve_test.go
+++ b/internal/ingress/serve_test.go
@@ -334,6 +334,19 @@
 	}
 }
 
+// TestStatusOfPeerOutOfRange guards against a caller whose connection breaks because a peer's answer has no valid status.
+func TestStatusOfPeerOutOfRange(t *testing.T) {
+	for _, status := range []uint32{0, 99, 100, 1000, 1 << 31} {
+		gate := gateFunc(func(context.Context, *wire.RequestHead, []byte) (*wire.ResponseHead, []byte) {
+			return &wire.ResponseHead{Code: uint32(result.OK), Status: status, Offered: true}, []byte("x")
+		})
+		srv, _, _ := newTestServer(t, nil, fakePeers{"p1": gate, "p2": gate})
+		if resp, _ := sendRequest(t, srv, http.MethodPost, "/act/x", "r1", "b"); resp.StatusCode != http.StatusBadGateway {
+			t.Errorf("status %d: the caller got %d", status, resp.StatusCode)
+		}
+	}
+}
+
 // TestRefusedRequests checks that an oversized body is refused, and that a server
 // refuses every request after RefuseRequests or without a configuration.
 func TestRefusedRequests(t *testing.T) {
