Upstream: a header name with white space makes an answer broken

Callers would get a 200 with a short body, framed as whole: with "Content-Length :" the length is ignored, and the end of the connection taken for that of the body. An answer that stops in its head, before its body ends or after an interim response cannot here: TestCutAnswerIsNotWhole stops eight answers after each byte, by an end and by a reset, and TestCutMessageIsNotWhole does so between nodes; both pass before the change too.

Also answers to HEAD with a length: their body was waited for, so that each was lost.

Change: white space in a header name makes the answer broken; a response without a body is not read further.

Measured: one case of TestMalformedFraming and one of TestAnswerWithoutBody failed, all pass now.

--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -25,6 +25,10 @@
 // readBody reads the whole body of a response. A large one waits until the memory for
 // it is free, or ctx ends.
 func (c *Client) readBody(ctx context.Context, resp *http.Response) ([]byte, error) {
+	if resp.Body == http.NoBody {
+		// The header of such a response may state the length that a body would have.
+		return nil, nil
+	}
 	if resp.ContentLength > maxResponseBytes {
 		return nil, errTooLarge
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -40,7 +40,12 @@
 	maxHeadBytes = 64 << 10
 )
 
-var errHeadTooLarge = errors.New("the head of the answer is too large")
+var (
+	errHeadTooLarge = errors.New("the head of the answer is too large")
+	// errHeaderName is a header name with white space: what it says of the length of the
+	// body would be ignored.
+	errHeaderName = errors.New("a header name of the answer has white space")
+)
 
 // headLimiter bounds the bytes that are read from a connection while the head of a
 // response is read.
@@ -133,6 +138,11 @@
 		if err != nil {
 			return nil, shorten(err)
 		}
+		for name := range resp.Header {
+			if strings.ContainsAny(name, " \t") {
+				return nil, errHeaderName
+			}
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
