Fleet: an answer to an earlier process extends no lease

Callers would see two backend servers with the same keys (OWNER): a late answer to a status of a node's earlier process was matched by its number alone, which the next process gives out again, so that a lease was counted from a later time than the leader waits for.

Change: each process numbers its statuses from another start.

Three tests send statuses with numbers that were above all others, and still do.

--- a/internal/fleet/calls_test.go
+++ b/internal/fleet/calls_test.go
@@ -110,7 +110,7 @@
 		m.Step(s.now.Add(time.Duration(i)*resendInterval/10), Message{
 			From: cluster.MemberRef{Name: lagging.name, Incarnation: lagging.incarnation},
 			Body: &wire.Control{Body: &wire.Control_NodeStatus{NodeStatus: &wire.NodeStatus{
-				Seq: 1<<40 + uint64(i), Term: m.doc.Term, DocumentVersion: 1, PeerAddr: lagging.name, Verified: true,
+				Seq: 1<<60 + uint64(i), Term: m.doc.Term, DocumentVersion: 1, PeerAddr: lagging.name, Verified: true,
 			}}},
 		})
 		for _, out := range m.Ready().Messages {
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -199,7 +199,7 @@
 	}
 	for _, n := range s.nodes[1:] {
 		echo := &wire.NodeStatus{
-			Seq: 1 << 20, Term: m.doc.Term, DocumentVersion: m.version, PeerAddr: n.name, Verified: true,
+			Seq: 1 << 60, Term: m.doc.Term, DocumentVersion: m.version, PeerAddr: n.name, Verified: true,
 			Echo: int64(s.now) + 1, EchoFrom: leader.incarnation,
 		}
 		from := cluster.MemberRef{Name: n.name, Incarnation: n.incarnation}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -11,6 +11,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fulmarhinge/internal/clock"
 	"fulmarhinge/internal/cluster"
 	"fulmarhinge/internal/platform"
@@ -232,6 +234,8 @@
 func New(now clock.Mono, p Params) *Machine {
 	m := &Machine{params: p, now: now, keyedServices: map[string]bool{}, docChanged: true}
 	m.lease.sentAt = map[uint64]clock.Mono{}
+	// A late answer to a status of an earlier process must not be taken for one to this.
+	m.lease.seq = xxhash.Sum64String(p.Nonce) >> 16
 	m.lease.leaderLastSeenAt = now
 	m.configReads.nextAt = now.Add(configReadInterval)
 	m.local = newLocalServer(now.Add(p.Timing.Lease))
