Fleet: a row with missing fields makes a document malformed

Found while asking the first report of each decoder: a stored row without an owner was taken for one of the first member. Only nodes write the document, so callers saw nothing.

Measured: TestRowWithMissingFields failed for short rows, passes now.

--- a/internal/fleet/document.go
+++ b/internal/fleet/document.go
@@ -209,6 +209,9 @@
 // omitted.
 type storedRow []any
 
+// rowFields is the number of fields of a stored row with a token.
+const rowFields = 6
+
 // noMember is the index for a row without an owner or next owner.
 const noMember = -1
 
@@ -290,7 +293,13 @@
 // UnmarshalJSON decodes [from, to, epoch, owner, next, token].
 func (r *decodedRow) UnmarshalJSON(b []byte) error {
 	fields := []any{&r.row.From, &r.row.To, &r.row.Epoch, &r.owner, &r.next, &r.row.Token}
-	return json.Unmarshal(b, &fields)
+	if err := json.Unmarshal(b, &fields); err != nil {
+		return err
+	}
+	if len(fields) < rowFields-1 || len(fields) > rowFields {
+		return ErrMalformed.New("row of %d fields", len(fields))
+	}
+	return nil
 }
 
 func decodeTable(rows []decodedRow, names []string) (Table, error) {
--- a/internal/fleet/malformed_test.go
+++ b/internal/fleet/malformed_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -96,7 +97,7 @@
 func aimed(m *wire.Control, to *Machine) *wire.Control {
 	out := proto.Clone(m).(*wire.Control)
 	if s := out.GetNodeStatus(); s != nil {
-		s.Seq, s.Term, s.DocumentVersion, s.PeerAddr, s.Verified = 1<<40, to.doc.Term, to.version, "n00", true
+		s.Seq, s.Term, s.DocumentVersion, s.PeerAddr, s.Verified = 1<<60, to.doc.Term, to.version, "n00", true
 	}
 	if c := out.GetDocumentChange(); c != nil {
 		c.FromVersion, c.ToVersion, c.Term = to.version, to.version+1, to.doc.Term
@@ -128,3 +129,16 @@
 		s.runUntil(s.now.Add(time.Second))
 	})
 }
+
+// TestRowWithMissingFields guards against rows that the first member is taken to own because their owner is missing.
+func TestRowWithMissingFields(t *testing.T) {
+	const text = `{"term":1,"leader":{"name":"a","incarnation":1},"members":[{"name":"a","incarnation":1}],"tables":{"svc":[%s]},"last_epoch":1,"change_id":"x"}`
+	if _, err := Decode(fmt.Appendf(nil, text, `[0,65535,1,0,-1]`)); err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range []string{`[0,65535,1]`, `[0,65535,1,0]`, `[0,65535,1,0,-1,"t",5]`, `null`, `[]`, `[0,65535,1,1,-1]`, `[0,65536,1,0,-1]`, `[0,65535,-1,0,-1]`, `[0,65535,1e30,0,-1]`} {
+		if d, err := Decode(fmt.Appendf(nil, text, row)); err == nil {
+			t.Errorf("%s: decoded %v", row, d.Tables)
+		}
+	}
+}
