Sidecar: a report whose handling failed is not acknowledged

Callers would see requests at a server that has left: a panic while a report is handled is contained, and the report was acknowledged without a record of it.

Measured: TestUnrecordedCallIsNotAcknowledged failed, passes now.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -98,10 +98,11 @@
 	}
 }
 
-// handleReport handles a liveness report of the backend server.
+// handleReport handles a liveness report of the backend server. A report that is not
+// recorded is not acknowledged either.
 func (l *controlLoop) handleReport(r fleet.Report) fleet.Grant {
-	var g fleet.Grant
-	ok := l.runSync(func() {
+	g := fleet.Grant{Stale: true}
+	l.runSync(func() {
 		g = l.node.machine.Report(clock.Now(), r)
 		if g.Stale {
 			reportsStale.Inc()
@@ -121,9 +122,6 @@
 		since, _ := l.leavingSince(server.Instance)
 		l.node.gate.SetServer(&server, since)
 	})
-	if !ok {
-		return fleet.Grant{Stale: true}
-	}
 	return g
 }
 
