Gate: downloads that their callers left free the link

Cause: the size of an answer was queued for the link when it was ready, and taken off part by part as it was sent. A caller that left before the end left the rest queued until the process ended, and the predicted wait above what is accepted.

Change: what is not sent is taken off when sending ends.

Measured: TestLeftDownloadsFreeTheLink failed (5.0 MB queued), passes now.

--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -337,3 +337,34 @@
 		t.Errorf("got mean service time %v and spans %v; expected 40ms and a first span of key 7 alone", mean, spans)
 	}
 }
+
+// TestLeftDownloadsFreeTheLink guards against a node that refuses downloads for good after callers of downloads have left:
+// what was not sent to them stayed queued.
+func TestLeftDownloadsFreeTheLink(t *testing.T) {
+	const size = 256 << 10
+	l := newLink(8)
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	for i := range 20 {
+		reserved, _ := l.reserve(time.Now(), time.Hour)
+		l.replaceReservation(reserved, size)
+		ctx, leave := context.WithCancel(context.Background())
+		if i%2 == 0 {
+			// The caller has left before the first part.
+			ctx = gone
+		}
+		_ = l.send(ctx, size, func(pause func(int) error) error {
+			for range 4 {
+				if err := pause(size / 64); err != nil {
+					return err
+				}
+			}
+			leave()
+			return pause(size / 64)
+		})
+		leave()
+	}
+	if l.queuedBytes != 0 {
+		t.Errorf("%.0f bytes are queued, and nobody waits for them", l.queuedBytes)
+	}
+}
--- a/internal/gate/link.go
+++ b/internal/gate/link.go
@@ -48,20 +48,35 @@
 	}
 }
 
-// send calls f, which sends a response, once no other response is being sent.
-func (l *link) send(ctx context.Context, f func() error) error {
+// send calls f, which sends a response of n bytes and calls pause before each part, once no
+// other response is being sent. What f leaves out, as its caller has left, is not queued any
+// more.
+func (l *link) send(ctx context.Context, n int, f func(pause func(n int) error) error) error {
+	left := n
+	defer func() { l.dropQueued(left) }()
+	pause := func(n int) error {
+		left -= n
+		return l.pace(ctx, n)
+	}
 	if l.bytesPerSecond <= 0 {
-		return f()
+		return f(pause)
 	}
 	select {
 	case l.sending <- struct{}{}:
 		defer func() { <-l.sending }()
-		return f()
+		return f(pause)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
+// dropQueued takes n bytes that will not be sent off the queue.
+func (l *link) dropQueued(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queuedBytes -= float64(n)
+}
+
 // predictedWait returns how long another large response is expected to take
 // until it has been sent, its own transmission included.
 func (l *link) predictedWait(now time.Time) time.Duration {
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -73,8 +73,8 @@
 	}
 	out, respBody := g.doRemote(ctx, h, body, timeLeft)
 	if h.GetBulk() && len(respBody) > 0 {
-		err = g.link.send(ctx, func() error {
-			return peer.WritePaced(conn, out, respBody, func(n int) error { return g.link.pace(ctx, n) })
+		err = g.link.send(ctx, len(respBody), func(pause func(n int) error) error {
+			return peer.WritePaced(conn, out, respBody, pause)
 		})
 	} else {
 		err = peer.WriteUnary(conn, out, respBody)
