Fleet: the answer to a report lists no more rows than it has room for

Cause: an answer of more than 4 KiB is no acknowledgement, and nothing bounded it: with few servers one owns more rows than are meant for it, and rows that were handed over carry a token until the server has reported them.

Change: rows beyond the bound are not granted, those that the server holds come first, and a request for a row that has no room is refused at once. What is left: such rows have no server; the leader does not merge the rows of one owner.

--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -60,8 +60,11 @@
 type Held struct {
 	Instance Instance
 	// Rows are sorted by From.
-	Rows  []Row
-	Until clock.Mono
+	Rows []Row
+	// LeftOut are the rows that the server cannot be granted beside these, sorted by
+	// From.
+	LeftOut []Row
+	Until   clock.Mono
 }
 
 // Row returns the held row that contains the key at the given time.
@@ -69,7 +72,21 @@
 	if h == nil || now >= h.Until {
 		return Row{}, false
 	}
-	i, found := slices.BinarySearchFunc(h.Rows, key, func(r Row, key int) int {
+	return findRow(h.Rows, key)
+}
+
+// IsLeftOut reports whether the key is in a row that the server cannot be granted.
+func (h *Held) IsLeftOut(key int) bool {
+	if h == nil {
+		return false
+	}
+	_, found := findRow(h.LeftOut, key)
+	return found
+}
+
+// findRow returns the row that contains the key, of rows that are sorted by From.
+func findRow(rows []Row, key int) (Row, bool) {
+	i, found := slices.BinarySearchFunc(rows, key, func(r Row, key int) int {
 		switch {
 		case r.To < key:
 			return -1
@@ -81,7 +98,7 @@
 	if !found {
 		return Row{}, false
 	}
-	return h.Rows[i], true
+	return rows[i], true
 }
 
 // span identifies the key range of a row and its epoch.
@@ -112,6 +129,8 @@
 	// meanServiceMs is the moving average of the service time.
 	meanServiceMs float64
 	limit         serverLimit
+	// leftOut is the number of rows that did not fit into the last answer.
+	leftOut int
 	// departures holds the departures of servers by their ids.
 	departures map[string]departure
 }
@@ -302,25 +321,37 @@
 		return Grant{}
 	}
 	g := Grant{Renews: true, Hold: hold}
-	var added []Row
 	until := m.now.Add(min(leaseLeft, m.params.Timing.MaxHold))
+	var held, added []Row
 	for _, row := range m.doc.Tables[r.Service] {
 		if row.Owner != m.params.Self.Name || row.Next != "" || m.local.hasReleased(row) {
 			continue
 		}
 		if slices.ContainsFunc(r.Holds, func(h Row) bool { return h.From <= row.From && h.To >= row.To }) {
 			row.Token = ""
+			held = append(held, row)
 		} else {
 			added = append(added, row)
 		}
+	}
+	var leftOut []Row
+	g.Rows, leftOut = m.params.Rows.fit(held, added)
+	for _, row := range g.Rows {
 		m.local.grantedUntil[span{row.From, row.To, row.Epoch}] = until
-		g.Rows = append(g.Rows, row)
+	}
+	added = slices.DeleteFunc(added, func(row Row) bool {
+		_, listed := findRow(g.Rows, row.From)
+		return !listed
+	})
+	if len(leftOut) != m.local.leftOut {
+		m.local.leftOut = len(leftOut)
+		m.note("rows do not fit into the answer to a report", "server", r.ID, "left_out", len(leftOut), "granted", len(g.Rows))
 	}
 	if len(added) > 0 {
 		m.note("rows granted", "server", r.ID, "count", len(added), "rows", formatRows(added),
 			"hold", hold, "lease_left", leaseLeft, "document", platform.FormatVersion(m.version))
 	}
-	m.setHeld(&Held{Instance: r.Instance, Rows: g.Rows, Until: m.now.Add(hold)})
+	m.setHeld(&Held{Instance: r.Instance, Rows: g.Rows, LeftOut: leftOut, Until: m.now.Add(hold)})
 	return g
 }
 
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -110,6 +110,8 @@
 	// Nonce makes the change ids of this process unique.
 	Nonce  string
 	Timing Timing
+	// Rows bounds the rows in the answer to a report.
+	Rows RowLimit
 	// NewFleet is true while the fleet starts for the first time: a missing
 	// document means that there never was one.
 	NewFleet bool
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -302,6 +302,8 @@
 			return s, nil
 		case !r.gate.ownsKey(s.Service, r.key):
 			return nil, refuse(result.Moved, 0)
+		case r.gate.held.Load().IsLeftOut(r.key):
+			return nil, refuse(result.BackendBusy, 0)
 		}
 		timeLeft := time.Until(r.deadline)
 		timer := time.NewTimer(min(timeLeft, keyRecheckInterval))
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -104,6 +104,11 @@
 		{"service without keys", "", true, nil, result.OK, 1},
 		{"key assigned to another node", "500", false, nil, result.Moved, 0},
 		{"key that is never granted", "500", true, nil, result.NoOwner, 0},
+		{"key that the server cannot be granted", "500", true, func(g *Gate) {
+			h := testHeld(time.Minute)
+			h.LeftOut = []fleet.Row{{From: 400, To: 600}}
+			g.SetHeld(h)
+		}, result.BackendBusy, 0},
 		{"expired hold", "5", true, func(g *Gate) { g.SetHeld(testHeld(-time.Second)) }, result.NoOwner, 0},
 		{"no server", "5", true, func(g *Gate) { g.SetServer(nil, time.Now()) }, result.BackendNotReady, 0},
 		{"another service", "", true, func(g *Gate) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -45,6 +45,8 @@
 	ServerHeaders upstream.Headers
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
+	// Rows bounds the rows in the response to a liveness report.
+	Rows fleet.RowLimit
 	// NewReportHandler returns the handler of the backend server's calls.
 	NewReportHandler func(ReportCallbacks) http.Handler
 }
@@ -144,6 +146,7 @@
 		Self: n.self, Addr: s.Listen.peerAddress(), Zone: s.Zone, Weight: s.Resources.CPUShare * s.Resources.LinkMbps,
 		LinkMbps:     s.Resources.LinkMbps,
 		OperatorAddr: s.Listen.Metrics, Nonce: fmt.Sprintf("%x", now.UnixNano()), Timing: timing, NewFleet: s.Platform.NewFleet,
+		Rows: adapter.Rows,
 	})
 	n.loop = newControlLoop(n)
 	n.suspects, n.spreader = quarantine.New(), newSuspectSpreader(n)
