Fleet: a deregistration without a start is that of the known instance

Callers would lose the next instance of a server: with the clock of the node ahead, a deregistration that does not state its start covered instances that started later.

Change: the instance that the node or the document knows under the id counts; the time of the call only if neither knows one.

Measured: TestDeregistrationWithoutStart failed with the earlier rule in both cases, passes now.

--- a/internal/fleet/departure.go
+++ b/internal/fleet/departure.go
@@ -64,12 +64,31 @@
 	return m.local.departures[instance.ID].since, m.hasLeft(instance)
 }
 
-// Deregister records that the server with this id is leaving and will not report again.
-// StartedBy is the start of the instance, or a later time if it did not state its start, in
-// ms since the Unix epoch.
-func (m *Machine) Deregister(now clock.Mono, id string, startedBy int64) {
+// Deregistration is the announcement of a server that it is leaving and will not report again.
+type Deregistration struct {
+	ID string
+	// StartedMs is the start of the instance in ms since the Unix epoch, 0 if it is not
+	// stated.
+	StartedMs int64
+	// ReceivedMs is when the call was received, in ms since the Unix epoch.
+	ReceivedMs int64
+}
+
+// Deregister records a deregistration. One that does not state its instance is that of the
+// instance which this node or the document knows, else of any that had started by then.
+func (m *Machine) Deregister(now clock.Mono, d Deregistration) {
 	m.now = max(m.now, now)
-	m.recordDeparture(id, startedBy, m.now)
+	startedBy, listed := d.StartedMs, m.listedServer()
+	switch {
+	case startedBy != 0:
+	case m.local.server.ID == d.ID:
+		startedBy = m.local.server.StartedMs
+	case listed != nil && listed.ID == d.ID:
+		startedBy = listed.StartedMs
+	default:
+		startedBy = d.ReceivedMs
+	}
+	m.recordDeparture(d.ID, startedBy, m.now)
 }
 
 // adoptDeparture takes over from the document that the local server leaves, which an earlier
--- a/internal/fleet/departure_test.go
+++ b/internal/fleet/departure_test.go
@@ -16,12 +16,11 @@
 	}
 	restart := func(_ *sim, n *simNode) { n.kill(); n.start() }
 	deregister := func(s *sim, n *simNode) {
-		n.machine.Deregister(s.now, n.server.instance.ID, n.server.instance.StartedMs)
+		n.machine.Deregister(s.now, Deregistration{ID: n.server.instance.ID, StartedMs: n.server.instance.StartedMs})
 		n.applyReady()
 	}
 	deregisterWithoutStart := func(s *sim, n *simNode) {
-		// The sender's start is at or before the time of the call.
-		n.machine.Deregister(s.now, n.server.instance.ID, n.server.instance.StartedMs+500)
+		n.machine.Deregister(s.now, Deregistration{ID: n.server.instance.ID, ReceivedMs: n.server.instance.StartedMs + 500})
 		n.applyReady()
 	}
 	cutOff := func(_ *sim, n *simNode) { n.partitioned, n.storeUnreachable = true, true }
@@ -99,7 +98,7 @@
 	earlier := n.server.instance
 	n.startServer()
 	s.runUntil(s.now.Add(6 * time.Second))
-	n.machine.Deregister(s.now, earlier.ID, earlier.StartedMs)
+	n.machine.Deregister(s.now, Deregistration{ID: earlier.ID, StartedMs: earlier.StartedMs})
 	n.applyReady()
 	s.runUntil(s.now.Add(2 * time.Second))
 	if !n.machine.Server().Ready {
@@ -107,6 +106,29 @@
 	}
 }
 
+// TestDeregistrationWithoutStart guards against the next instance of a server that is never sent a request: the clock of
+// the node was ahead when the earlier one deregistered without its start.
+func TestDeregistrationWithoutStart(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		s := newStableSim(4, 3)
+		n := s.follower()
+		if restarted {
+			n.server.reportsLost = true
+			n.kill()
+			n.start()
+			s.runUntil(s.now.Add(time.Second))
+		}
+		n.machine.Deregister(s.now, Deregistration{ID: n.server.instance.ID, ReceivedMs: n.server.instance.StartedMs + 60000})
+		n.applyReady()
+		s.runUntil(s.now.Add(2 * time.Second))
+		n.startServer()
+		s.runUntil(s.now.Add(8 * time.Second))
+		if !n.machine.Server().Ready {
+			t.Errorf("node restarted %v: the later instance counts as leaving", restarted)
+		}
+	}
+}
+
 // TestLeavingSinceOfEarlierProcess guards against a drain period that begins again: a report with which a server says that
 // it leaves was acknowledged by an earlier process of the node.
 func TestLeavingSinceOfEarlierProcess(t *testing.T) {
--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -34,7 +34,7 @@
 					n = other
 				}
 			}
-			n.machine.Deregister(s.now, n.server.instance.ID, n.server.instance.StartedMs)
+			n.machine.Deregister(s.now, Deregistration{ID: n.server.instance.ID, StartedMs: n.server.instance.StartedMs})
 			n.applyReady()
 			s.runUntil(s.now.Add(3 * time.Second))
 			tc.restart(s, n)
--- a/internal/sidecar/acknowledge_test.go
+++ b/internal/sidecar/acknowledge_test.go
@@ -16,7 +16,7 @@
 		if !l.handleReport(fleet.Report{}).Stale {
 			t.Error("the report was acknowledged")
 		}
-		if l.handleDeregistration("i-1", 1) {
+		if l.handleDeregistration(fleet.Deregistration{ID: "i-1"}) {
 			t.Error("the deregistration was acknowledged")
 		}
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -127,10 +127,10 @@
 
 // handleDeregistration handles the backend server's announcement that it is leaving. It
 // reports whether that is recorded.
-func (l *controlLoop) handleDeregistration(id string, startedBy int64) bool {
+func (l *controlLoop) handleDeregistration(d fleet.Deregistration) bool {
 	recorded := false
 	l.runSync(func() {
-		l.node.machine.Deregister(clock.Now(), id, startedBy)
+		l.node.machine.Deregister(clock.Now(), d)
 		l.markLeaving()
 		recorded = true
 	})
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -56,7 +56,7 @@
 type ReportCallbacks struct {
 	Address, Service string
 	Report           func(fleet.Report) fleet.Grant
-	Deregister       func(id string, startedBy int64) bool
+	Deregister       func(fleet.Deregistration) bool
 	Refused          func(why string)
 }
 
