Fleet: the log says whether a server counts as ready

Cause: the line "backend server" had what the report says. A late report of a server that has left reads ready=true there, which hides what the node knows.

Change: ready is what counts, reported_ready what the report says.

Measured: the tests of departures pass; no decision depends on it.

--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -186,7 +186,7 @@
 	}
 	if !l.alive || l.server != server {
 		m.note("backend server", "id", r.ID, "born", r.StartedMs, "service", r.Service,
-			"ready", r.Ready, "slots", r.Slots, "seq", r.Seq)
+			"reported_ready", r.Ready, "ready", server.Ready, "slots", r.Slots, "seq", r.Seq)
 		m.sendStatusNow()
 	}
 	l.alive = true
