Sidecar: a full event queue does not hang the node

Callers would lose a node for good: a configuration is put in force under a lock, and waited there for room in the queue of the control goroutine, which takes the same lock.

Change: the event is queued without waiting. Two changes can then arrive in another order, and the state machine keeps the newer one.

TestConfigurationWithFullQueue covers the new call; with the call before it waits for ever.

--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -368,8 +368,9 @@
 	case DocumentWritten:
 		m.handleDocumentWritten(e)
 	case ConfigChanged:
-		m.configVersion = e.Version
-		m.keyedServices = e.KeyedServices
+		if e.Version >= m.configVersion {
+			m.configVersion, m.keyedServices = e.Version, e.KeyedServices
+		}
 	case SuspectsChanged:
 		m.suspectsDigest, m.quarantined, m.quarantineKnown = e.Digest, e.Refused, e.Complete
 	case ServerDown:
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -188,7 +188,7 @@
 	args := []any{"version", c.Version, "source", source, "services", len(c.Services), "routes", c.RouteCount()}
 	w.node.log.Info("configuration in force", args...)
 	w.node.recordEvent("configuration in force", args)
-	w.node.loop.enqueue(fleet.ConfigChanged{Version: c.Version, KeyedServices: c.KeyedServices()})
+	w.node.loop.enqueueLater(fleet.ConfigChanged{Version: c.Version, KeyedServices: c.KeyedServices()})
 	return true
 }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -76,6 +76,16 @@
 	}
 }
 
+// enqueueLater is enqueue for callers that hold a lock which the control goroutine takes: it
+// does not block. Events may then arrive in another order.
+func (l *controlLoop) enqueueLater(e fleet.Event) {
+	select {
+	case l.events <- e:
+	default:
+		go l.enqueue(e)
+	}
+}
+
 // enqueueMessage adds a peer's message to the queue, or drops it if the queue is full:
 // peers resend important messages.
 func (l *controlLoop) enqueueMessage(from cluster.MemberRef, m *wire.Control) {
