--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -97,7 +97,7 @@
 	{IdempotencyTableFull, "idempotency table full", NotRun, http.StatusServiceUnavailable, true, "The owner cannot remember another idempotency key."},
 	{IdempotencyKeyBad, "idempotency key bad", NotRun, http.StatusBadRequest, false, "The idempotency key is not a UUIDv7, lies in the future, or was used for another request."},
 
-	{AnswerCut, "cut answer", Unknown, http.StatusBadGateway, false, "The backend server's answer was cut or malformed."},
+	{AnswerCut, "cut answer", Unknown, http.StatusBadGateway, false, "The backend server's answer was cut or malformed, or its status alone says that the request was not run."},
 	{DeadlineAfter, "deadline after dispatch", Unknown, http.StatusGatewayTimeout, false, "The deadline passed after the request was sent to a backend server."},
 	{CancelledAfter, "cancelled after dispatch", Unknown, http.StatusBadGateway, false, "The caller left after the request was sent to a backend server."},
 	{LeaseLapsedDuring, "lease lapsed during run", Unknown, http.StatusBadGateway, false, "The owner's lease lapsed while the backend server ran the request."},
