Backend: a late copy of a refusal is no answer to the next request

Callers of `fulmarhinge node` would be told that a request was not run which a backend server runs.

Cause: an answer is known by its connection only there, and the connection was used again after a refusal.

Change: the connection is closed after a refusal, and an answer that names another request counts as broken.

Measured: TestLateCopyOfRefusalIsNoAnswer and TestAnswerToAnotherRequestIsBroken failed, pass now.

--- a/internal/backend/gate_test.go
+++ b/internal/backend/gate_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -172,6 +173,45 @@
 	}
 }
 
+// TestLateCopyOfRefusalIsNoAnswer guards against a request that ran and is taken for refused, as a second copy of an earlier
+// refusal came late on its connection.
+func TestLateCopyOfRefusalIsNoAnswer(t *testing.T) {
+	refusal := "HTTP/1.1 503 Full\r\n" + header.Shed + ": 1\r\nContent-Length: 0\r\n\r\n"
+	var requests atomic.Int64
+	g := newGateTest(t, func(w http.ResponseWriter, _ *http.Request) {
+		if requests.Add(1) > 1 {
+			time.Sleep(100 * time.Millisecond)
+			return
+		}
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = conn.Write([]byte(refusal))
+		br := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		// The next request runs while the refusal comes once more.
+		_, _ = conn.Write([]byte(refusal))
+	})
+	if _, err := g.do(post("r1")); codeOf(err) != result.BackendShed {
+		t.Fatalf("got code %d", codeOf(err))
+	}
+	if _, err := g.do(post("r2")); codeOf(err) != result.OK {
+		t.Errorf("got code %d for the next request", codeOf(err))
+	}
+}
+
+// TestAnswerToAnotherRequestIsBroken guards against an answer that names another request and is taken for that to this one.
+func TestAnswerToAnotherRequestIsBroken(t *testing.T) {
+	g := newGateTest(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(header.RequestID, "other") })
+	if _, err := g.do(post("r1")); codeOf(err) != result.AnswerCut {
+		t.Errorf("got code %d", codeOf(err))
+	}
+}
+
 func TestLeaseExpiryDuringRequestMakesOutcomeUnknown(t *testing.T) {
 	var g *gateTest
 	g = newGateTest(t, func(http.ResponseWriter, *http.Request) { g.src.SetLease(clock.Now()) })
--- a/internal/backend/request.go
+++ b/internal/backend/request.go
@@ -85,7 +85,15 @@
 		return r.classifyError(ctx, err)
 	}
 	defer resp.Body.Close()
+	if id := resp.Header.Get(header.RequestID); id != "" && id != r.head.GetId() {
+		r.unfinished = true
+		r.closeConn()
+		return result.New(result.AnswerCut)
+	}
 	if refusal = r.backendRefusal(resp); refusal != nil {
+		// A second copy of the refusal must not be taken for the answer to a later
+		// request.
+		r.closeConn()
 		return refusal
 	}
 	if !r.stillOwner() {
@@ -95,6 +103,14 @@
 	return r.forwardResponse(ctx, resp)
 }
 
+// closeConn closes the connection on which the request was dispatched, so that no other
+// request uses it.
+func (r *request) closeConn() {
+	if c := r.conn.Load(); c != nil {
+		_ = c.Close()
+	}
+}
+
 // callContext returns the context of the call to the backend server. The
 // context of a detached request ends only at the deadline.
 func (r *request) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
