--- a/internal/fleet/departure_test.go
+++ b/internal/fleet/departure_test.go
@@ -5,91 +5,118 @@
 	"time"
 )
 
+// departureStep is a step of a play in which the server of a node leaves.
+type departureStep func(s *sim, n *simNode)
+
+func runFor(d time.Duration) departureStep {
+	return func(s *sim, _ *simNode) { s.runUntil(s.now.Add(d)) }
+}
+
+func loseReports(_ *sim, n *simNode) { n.server.reportsLost = true }
+
+// fallSilent loses the reports until the node takes the server for silent.
+func fallSilent(s *sim, n *simNode) {
+	n.server.reportsLost = true
+	s.runUntil(s.now.Add(DefaultTiming().Lease + 2*time.Second))
+}
+
+func reportAgain(_ *sim, n *simNode) {
+	n.server.reportsLost = false
+	n.server.report(false)
+}
+
+func restartNode(_ *sim, n *simNode) { n.kill(); n.start() }
+
+func restartAllNodes(s *sim, _ *simNode) {
+	for _, n := range s.nodes {
+		restartNode(s, n)
+	}
+}
+
+func cutOff(_ *sim, n *simNode)    { n.partitioned, n.storeUnreachable = true, true }
+func reconnect(_ *sim, n *simNode) { n.partitioned, n.storeUnreachable = false, false }
+
+func deregister(s *sim, n *simNode) {
+	n.machine.Deregister(s.now, Deregistration{ID: n.server.instance.ID, StartedMs: n.server.instance.StartedMs})
+	n.applyReady()
+}
+
+func deregisterWithoutStart(s *sim, n *simNode) {
+	n.machine.Deregister(s.now, Deregistration{ID: n.server.instance.ID, ReceivedMs: n.server.instance.StartedMs + 500})
+	n.applyReady()
+}
+
 // TestDeregistrationIsKept guards against a server that is sent requests after its deregistration was acknowledged: the
 // node knew of no live server then, and a report that was late made the server ready again.
 func TestDeregistrationIsKept(t *testing.T) {
-	type step func(s *sim, n *simNode)
-	run := func(d time.Duration) step { return func(s *sim, _ *simNode) { s.runUntil(s.now.Add(d)) } }
-	silent := func(s *sim, n *simNode) {
-		n.server.reportsLost = true
-		s.runUntil(s.now.Add(DefaultTiming().Lease + 2*time.Second))
-	}
-	restart := func(_ *sim, n *simNode) { n.kill(); n.start() }
-	deregister := func(s *sim, n *simNode) {
-		n.machine.Deregister(s.now, Deregistration{ID: n.server.instance.ID, StartedMs: n.server.instance.StartedMs})
-		n.applyReady()
-	}
-	deregisterWithoutStart := func(s *sim, n *simNode) {
-		n.machine.Deregister(s.now, Deregistration{ID: n.server.instance.ID, ReceivedMs: n.server.instance.StartedMs + 500})
-		n.applyReady()
-	}
-	cutOff := func(_ *sim, n *simNode) { n.partitioned, n.storeUnreachable = true, true }
-	reconnect := func(_ *sim, n *simNode) { n.partitioned, n.storeUnreachable = false, false }
+	const second = time.Second
 	tests := []struct {
 		name  string
-		steps []step
+		steps []departureStep
 	}{
-		{"silent server", []step{silent, deregister, run(time.Second)}},
-		{"silent server, node restarts", []step{silent, deregister, run(time.Second), restart, run(time.Second)}},
-		{"silent server, all nodes restart", []step{silent, deregister, run(time.Second), func(s *sim, _ *simNode) {
-			for _, other := range s.nodes {
-				restart(s, other)
-			}
-		}, run(5 * time.Second)}},
-		{"node just started", []step{func(_ *sim, n *simNode) { n.server.reportsLost = true }, restart, deregister, run(time.Second)}},
-		{"node just started, again", []step{
-			func(_ *sim, n *simNode) { n.server.reportsLost = true }, restart, run(500 * time.Millisecond), deregister, run(time.Second), restart,
-			run(500 * time.Millisecond),
-		}},
-		{"node without the document", []step{
-			func(_ *sim, n *simNode) { n.server.reportsLost = true }, cutOff, restart, deregisterWithoutStart, run(time.Second), reconnect,
+		{"silent server", []departureStep{fallSilent, deregister, runFor(second)}},
+		{"silent server, node restarts", []departureStep{fallSilent, deregister, runFor(second), restartNode, runFor(second)}},
+		{"silent server, all nodes restart", []departureStep{fallSilent, deregister, runFor(second), restartAllNodes, runFor(5 * second)}},
+		{"node just started", []departureStep{loseReports, restartNode, deregister, runFor(second)}},
+		{"node just started, again", []departureStep{
+			loseReports, restartNode, runFor(second / 2), deregister, runFor(second), restartNode, runFor(second / 2),
 		}},
-		{"late report before the document", []step{
-			deregister, func(_ *sim, n *simNode) { n.server.reportsLost = true }, run(time.Second), cutOff, restart,
-			func(_ *sim, n *simNode) { n.server.reportsLost = false; n.server.report(false) }, run(100 * time.Millisecond), reconnect,
-			run(3 * time.Second),
+		{"node without the document", []departureStep{loseReports, cutOff, restartNode, deregisterWithoutStart, runFor(second), reconnect}},
+		{"late report before the document", []departureStep{
+			deregister, loseReports, runFor(second), cutOff, restartNode, reportAgain, runFor(second / 10), reconnect, runFor(3 * second),
 		}},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			s := newStableSim(11, 4)
-			s.runUntil(s.now.Add(8 * time.Second))
+			s.runUntil(s.now.Add(8 * second))
 			n := s.follower()
 			for _, apply := range tc.steps {
 				apply(s, n)
 			}
-			n.server.reportsLost = false
-			n.server.report(false)
-			for end := s.now.Add(3 * time.Second); s.now < end; {
-				s.runUntil(s.now.Add(50 * time.Millisecond))
-				if n.machine.Server().Ready {
-					t.Fatal("the server that has left counts as ready")
-				}
-				// The other nodes learn of it through the leader.
-				for _, other := range s.nodes {
-					if d := other.machine.doc; d != nil && d.Members[n.name].usable("svc") && end.Sub(s.now) < 2*time.Second {
-						t.Fatalf("%s counts the server that has left as usable", other.name)
-					}
-				}
-			}
-			if _, left := n.machine.LeavingSince(n.server.instance); !left {
-				t.Error("the node does not know since when the server leaves")
-			}
-			n.server.instance.StartedMs += 1000
-			n.startServer()
-			s.runUntil(s.now.Add(15 * time.Second))
-			if m := s.leader().machine.doc.Members[n.name]; m == nil || m.Server == nil || !m.Server.Ready {
-				t.Error("the next server instance is not used")
-			}
-			if held := s.heldKeys(); held != MaxKey+1 {
-				t.Errorf("%d of %d keys are held", held, MaxKey+1)
-			}
+			reportAgain(s, n)
+			checkHasLeft(t, s, n)
+			checkNextInstance(t, s, n)
 			reportViolations(t, 11, s)
 		})
 	}
 }
 
+// checkHasLeft checks for some time that no node counts the server of a node as usable.
+func checkHasLeft(t *testing.T, s *sim, n *simNode) {
+	t.Helper()
+	for end := s.now.Add(3 * time.Second); s.now < end; {
+		s.runUntil(s.now.Add(50 * time.Millisecond))
+		if n.machine.Server().Ready {
+			t.Fatal("the server that has left counts as ready")
+		}
+		// The other nodes learn of it through the leader.
+		for _, other := range s.nodes {
+			if d := other.machine.doc; d != nil && d.Members[n.name].usable("svc") && end.Sub(s.now) < 2*time.Second {
+				t.Fatalf("%s counts the server that has left as usable", other.name)
+			}
+		}
+	}
+	if _, left := n.machine.LeavingSince(n.server.instance); !left {
+		t.Error("the node does not know since when the server leaves")
+	}
+}
+
+// checkNextInstance checks that the next instance of the server is used.
+func checkNextInstance(t *testing.T, s *sim, n *simNode) {
+	t.Helper()
+	n.server.instance.StartedMs += 1000
+	n.startServer()
+	s.runUntil(s.now.Add(15 * time.Second))
+	if m := s.leader().machine.doc.Members[n.name]; m == nil || m.Server == nil || !m.Server.Ready {
+		t.Error("the next server instance is not used")
+	}
+	if held := s.heldKeys(); held != MaxKey+1 {
+		t.Errorf("%d of %d keys are held", held, MaxKey+1)
+	}
+}
+
 // TestLateDeregistrationOfEarlierInstance guards against a server that is never sent a request, because the deregistration
 // of an earlier instance with the same id came late.
 func TestLateDeregistrationOfEarlierInstance(t *testing.T) {
