--- a/internal/platform/metrics.go
+++ b/internal/platform/metrics.go
@@ -19,6 +19,11 @@
 // each as one call in progress.
 var openWatches = metrics.NewCounter("fulmarhinge_platform_watches_waiting")
 
+var entriesIgnored = metrics.NewCounter("fulmarhinge_platform_entries_ignored_total")
+
+// CountIgnoredEntry counts an entry of the store that cannot be decoded.
+func CountIgnoredEntry() { entriesIgnored.Inc() }
+
 // CountCall counts a call of a Store by its outcome. kind is one of get, list,
 // put, delete and watch.
 func CountCall(kind string, err error) { countCall(kind, err) }
