--- a/internal/fleet/lost_answer_test.go
+++ b/internal/fleet/lost_answer_test.go
@@ -40,6 +40,16 @@
 	}
 }
 
+// answerLateIf makes the answers to writes of the documents that match come late.
+func (s *sim) answerLateIf(event func(version uint64) DocumentWritten, matches func(*Document) bool) {
+	s.answerLate = func(doc *Document) func(uint64) DocumentWritten {
+		if matches(doc) {
+			return event
+		}
+		return nil
+	}
+}
+
 // follower returns a node that does not lead.
 func (s *sim) follower() *simNode {
 	for _, n := range s.nodes {
@@ -78,12 +88,7 @@
 	evicted := func() bool { return leader.machine.doc.Members[n.name].Evicted }
 	s.partitionNode(n, 2200*time.Millisecond)
 	s.awaitFor(t, 3*time.Second, "the member is evicted", evicted)
-	s.answerLate = func(doc *Document) func(uint64) DocumentWritten {
-		if doc.Members[n.name].Evicted {
-			return nil
-		}
-		return event
-	}
+	s.answerLateIf(event, func(doc *Document) bool { return !doc.Members[n.name].Evicted })
 	s.awaitFor(t, 3*time.Second, "the eviction is taken back", func() bool { return !evicted() })
 	s.answerLate = nil
 	s.runUntil(s.now.Add(3 * time.Second))
@@ -103,12 +108,7 @@
 		s := newStableSim(seed, 4)
 		s.runUntil(s.now.Add(8 * time.Second))
 		leader := s.leader()
-		s.answerLate = func(doc *Document) func(uint64) DocumentWritten {
-			if !doc.Recovered {
-				return nil
-			}
-			return event
-		}
+		s.answerLateIf(event, func(doc *Document) bool { return doc.Recovered })
 		s.store.rollback(s.now.Add(-3 * time.Second))
 		s.awaitFor(t, 5*time.Second, "the document of the new era is known", func() bool { return leader.machine.doc.Recovered })
 		s.answerLate = nil
@@ -189,12 +189,10 @@
 		s := newStableSim(seed, 4)
 		s.runUntil(s.now.Add(8 * time.Second))
 		lost := s.follower()
-		s.answerLate = func(doc *Document) func(uint64) DocumentWritten {
-			if mem := doc.Members[lost.name]; mem == nil || !mem.Evicted || mem.Server == nil {
-				return nil
-			}
-			return event
-		}
+		s.answerLateIf(event, func(doc *Document) bool {
+			mem := doc.Members[lost.name]
+			return mem != nil && mem.Evicted && mem.Server != nil
+		})
 		lost.kill()
 		lost.server.up = false
 		// An eviction, the late answer, which covers the lease, two writes and a report.
