Review case 8: hold the crowd to the link of the site

The first form ran without a bound on the links between nodes, which let more arrive at the gate than a link of its machine carries.

--- a/review/rig2/crowd/main.go
+++ b/review/rig2/crowd/main.go
@@ -1,7 +1,7 @@
 //go:build review
 
-// Command crowd plays clients that each send one whole body of legal size at the same moment,
-// at two machines and for one key.
+// Command crowd plays clients at one machine that each send one whole body of legal size, all of
+// which end at the same moment.
 package main
 
 import (
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"maps"
+
 	"net"
 	"net/http"
 	"slices"
@@ -20,25 +21,27 @@
 	"fulmarhinge/review/rig2"
 )
 
-// The limits are those of the example of the configuration on the users' pages, the times those
-// of billing-act at colmeia-sul-grown.
+// As in the example of the configuration on the users' pages.
 const config = `{"version":"r7","routes":{
-"act":{"host":"ficu95.example","pathPrefix":"/pufi791/","kind":"non_idempotent","timeoutS":3,"targetLatencyS":1,"priority":1,"service":"huvo11a","maxAttempts":2}},
-"services":{"huvo11a":{"healthPath":"/healthz","maxConns":550,"protocol":"h1","tls":false,"sharded":true,"warmupS":5.0,"grants":"heartbeat"},
-"wuno96b":{"healthPath":"/healthz","maxConns":550,"protocol":"h1","tls":false}},
+"act":{"host":"ficu95.example","pathPrefix":"/pufi791/","kind":"non_idempotent","timeoutS":1.2,"targetLatencyS":0.4,"priority":1,"service":"huvo11a","maxAttempts":2}},
+"services":{"huvo11a":{"healthPath":"/healthz","maxConns":110,"protocol":"h1","tls":false,"sharded":true,"warmupS":5.0,"grants":"heartbeat"},
+"wuno96b":{"healthPath":"/healthz","maxConns":110,"protocol":"h1","tls":false}},
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}}`
 
 const (
-	budgetMs = "6000"
-	// fronts is the number of machines that the crowd is at, and crowdSize that of its
-	// clients at each of them: fewer than the connections that a node takes.
-	fronts, crowdSize = 2, 1400
-	// bodyBytes is the size of each body.
-	bodyBytes = 200 << 10
-	// key is the key of all requests.
-	key = 4711
+	budgetMs = "2500"
+	// crowdSize is the number of clients at the machine: fewer than the connections that its
+	// node takes, 8 for each of its 284 MB.
+	crowdSize = 2060
+	// bodyBytes is the size of each body. The last byte of all is sent finishAfter the first.
+	bodyBytes   = 64 << 10
+	finishAfter = 700 * time.Millisecond
+	// waves is how often the crowd comes, waveGap the time between two of them.
+	waves   = 5
+	waveGap = time.Second
 	// ordinary is the number of ordinary requests after the crowd.
 	ordinary = 20
+	maxKey   = 65535
 )
 
 // observer counts the runs of each request.
@@ -60,31 +63,31 @@
 
 func play(r *rig2.Rig) int {
 	o := &observer{runs: map[string]int{}}
-	limits := rig2.GrownSite()
+	limits := rig2.SmallSite()
+	r.Links, r.LinkMbps = true, limits.LinkMbps
 	r.StartStore(config)
-	for range 2 {
-		r.AddMachine("huvo11a", limits, standin.BackendOptions{
-			Keyed: true, Slots: 13, SlowPercent: 2, Work: 120 * time.Millisecond, HealthPath: "/healthz", Observer: o,
-		})
-	}
-	for range fronts {
-		r.AddMachine("wuno96b", limits, standin.BackendOptions{Slots: 13, Work: 70 * time.Millisecond, HealthPath: "/healthz", Observer: o})
-	}
-	at := r.Machines[2:]
+	r.AddMachine("huvo11a", limits, standin.BackendOptions{
+		Keyed: true, Slots: 18, SlowPercent: 2, Work: 120 * time.Millisecond, HealthPath: "/healthz", Observer: o,
+	})
+	at := r.AddMachine("wuno96b", limits, standin.BackendOptions{Slots: 18, Work: 70 * time.Millisecond, HealthPath: "/healthz", Observer: o})
 	r.StartAll()
 	r.AwaitReady(15 * time.Second)
 	time.Sleep(8 * time.Second)
-	if status := send(at[0], "ordinary-0"); status != http.StatusOK {
+	if status := send(at, "ordinary-0", 0); status != http.StatusOK {
 		panic(fmt.Sprintf("an ordinary request before the crowd got %d", status))
 	}
 	report(r, "before", limits)
 	if r.Trouble {
-		crowd(r, at)
+		for wave := range waves {
+			crowd(r, at, wave)
+			time.Sleep(waveGap)
+			report(r, fmt.Sprintf("after wave %d", wave+1), limits)
+		}
 	}
 	answered := 0
 	for n := range ordinary {
 		time.Sleep(200 * time.Millisecond)
-		if send(at[n%len(at)], fmt.Sprintf("ordinary-%d", n+1)) == http.StatusOK {
+		if send(at, fmt.Sprintf("ordinary-%d", n+1), n*maxKey/ordinary) == http.StatusOK {
 			answered++
 		}
 	}
@@ -96,23 +99,24 @@
 	return rig2.Held
 }
 
-// crowd opens all connections first, and then sends one request on each.
-func crowd(r *rig2.Rig, at []*rig2.Machine) {
+// crowd opens all connections first, and then sends one request on each, in two pieces.
+func crowd(r *rig2.Rig, at *rig2.Machine, wave int) {
 	var conns []net.Conn
-	for i := range fronts * crowdSize {
-		c, err := net.DialTimeout("tcp", at[i%len(at)].Callers(), time.Second)
+	for range crowdSize {
+		c, err := net.DialTimeout("tcp", at.Callers(), time.Second)
 		rig2.Must(err)
 		defer c.Close()
 		conns = append(conns, c)
 	}
-	r.Logf("%d clients have connections to %d nodes; each sends one request with a body of %d bytes", len(conns), len(at), bodyBytes)
+	r.Logf("%d clients have connections to %s; each sends one request with a body of %d bytes, the last one after %v", len(conns), at.Name, bodyBytes, finishAfter)
 	body := make([]byte, bodyBytes)
+	finish := time.Now().Add(finishAfter)
 	answers := map[string]int{}
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	for i, c := range conns {
 		all.Go(func() {
-			answer := exchange(c, fmt.Sprintf("crowd-%d", i), body)
+			answer := exchange(c, fmt.Sprintf("crowd-%d-%d", wave, i), i*maxKey/len(conns), body, finish)
 			mu.Lock()
 			defer mu.Unlock()
 			answers[answer]++
@@ -157,13 +161,17 @@
 }
 
 // exchange sends one request on a connection and returns the first line of the answer.
-func exchange(c net.Conn, id string, body []byte) string {
+func exchange(c net.Conn, id string, key int, body []byte, finish time.Time) string {
 	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
 	head := fmt.Sprintf("POST /pufi791/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %s\r\nX-Shard-Key: %d\r\nContent-Length: %d\r\n\r\n",
 		id, budgetMs, key, len(body))
-	if _, err := c.Write(append([]byte(head), body...)); err != nil {
+	if _, err := c.Write(append([]byte(head), body[1:]...)); err != nil {
 		return "no answer, the body was not read"
 	}
+	time.Sleep(time.Until(finish))
+	if _, err := c.Write(body[:1]); err != nil {
+		return "no answer, the body was not read to its end"
+	}
 	buf := make([]byte, 256)
 	n, err := c.Read(buf)
 	if err != nil {
@@ -174,7 +182,7 @@
 }
 
 // send sends an ordinary request on a new connection and returns its status, 0 without one.
-func send(m *rig2.Machine, id string) int {
+func send(m *rig2.Machine, id string, key int) int {
 	client := &http.Client{Timeout: 7 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	req, err := http.NewRequest(http.MethodPost, "http://"+m.Callers()+"/pufi791/2f", bytes.NewReader(make([]byte, 1200)))
 	rig2.Must(err)
--- a/review/rig2/proxy.go
+++ b/review/rig2/proxy.go
@@ -11,6 +11,9 @@
 // pollInterval is how often a connection that is cut looks whether it is healed.
 const pollInterval = 20 * time.Millisecond
 
+// windowBytes is the size of the socket buffers of a link with a bandwidth.
+const windowBytes = 64 << 10
+
 // link is a proxy in front of an address. While a machine is cut off, nothing that it sends or is
 // sent through the link arrives, and new connections get no answer. What was held up is lost:
 // connections on which something was sent meanwhile end once the cut has healed.
@@ -64,15 +67,22 @@
 		return
 	}
 	defer t.Close()
+	if l.rig.LinkMbps > 0 {
+		// A link has small windows.
+		for _, side := range []net.Conn{c, t} {
+			_ = side.(*net.TCPConn).SetReadBuffer(windowBytes)
+			_ = side.(*net.TCPConn).SetWriteBuffer(windowBytes)
+		}
+	}
 	var both sync.WaitGroup
-	both.Go(func() { l.pump(t, c, from) })
-	both.Go(func() { l.pump(c, t, from) })
+	both.Go(func() { l.pump(t, c, from, []*pacer{l.pacerOf(from, true), l.pacerOf(l.owner, false)}) })
+	both.Go(func() { l.pump(c, t, from, []*pacer{l.pacerOf(l.owner, true), l.pacerOf(from, false)}) })
 	both.Wait()
 }
 
 // pump copies what arrives on one connection to another until something arrives while a machine
 // is cut off.
-func (l *link) pump(to, from net.Conn, dialled *Machine) {
+func (l *link) pump(to, from net.Conn, dialled *Machine, paced []*pacer) {
 	defer to.Close()
 	defer from.Close()
 	buf := make([]byte, 32<<10)
@@ -81,6 +91,9 @@
 		if awaitHealed(dialled, l.owner) {
 			return
 		}
+		for _, p := range paced {
+			p.wait(n, l.rig.LinkMbps)
+		}
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
@@ -92,6 +105,40 @@
 	}
 }
 
+// pacer spaces what a machine sends or receives by the bandwidth of its link.
+type pacer struct {
+	mu     sync.Mutex
+	freeAt time.Time
+}
+
+// pacerOf returns the pacer of a machine's link in one direction, nil if there is none.
+func (l *link) pacerOf(m *Machine, sends bool) *pacer {
+	switch {
+	case m == nil || l.rig.LinkMbps <= 0 || l.owner == nil:
+		return nil
+	case sends:
+		return &m.sends
+	default:
+		return &m.receives
+	}
+}
+
+// wait waits until n bytes have passed.
+func (p *pacer) wait(n int, mbps float64) {
+	if p == nil || n <= 0 {
+		return
+	}
+	p.mu.Lock()
+	now := time.Now()
+	if p.freeAt.Before(now) {
+		p.freeAt = now
+	}
+	p.freeAt = p.freeAt.Add(time.Duration(float64(n*8) / (mbps * 1e6) * float64(time.Second)))
+	until := p.freeAt
+	p.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 // awaitHealed waits until no end is cut off, and reports whether one was.
 func awaitHealed(ends ...*Machine) (waited bool) {
 	for _, m := range ends {
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -65,12 +65,6 @@
 	return Limits{MemoryMB: 284, CPUShare: 0.32, LinkMbps: 1000, Drain: 2, Grace: 6, ConfigApply: 2, ReportEvery: 0.87}
 }
 
-// GrownSite returns the limits of most machines of the site colmeia-sul-grown. A node does not
-// limit its link to the bandwidth, except for large responses.
-func GrownSite() Limits {
-	return Limits{MemoryMB: 184, CPUShare: 0.16, LinkMbps: 12, Drain: 2.5, Grace: 6, ConfigApply: 2.5, ReportEvery: 0.87}
-}
-
 // Machine is one machine: the process of a node and the backend server beside it.
 type Machine struct {
 	Name, IP, Service string
@@ -79,10 +73,12 @@
 	settings, log     string
 
 	// cut is true while the machine is cut off; see Cut.
-	cut     atomic.Bool
-	mu      sync.Mutex
-	process *os.Process
-	exited  chan struct{}
+	cut atomic.Bool
+	// sends and receives pace the machine's link.
+	sends, receives pacer
+	mu              sync.Mutex
+	process         *os.Process
+	exited          chan struct{}
 	// state is how the last process ended, nil while it runs.
 	state *os.ProcessState
 	// killed is true if the case ended the last process.
@@ -118,6 +114,9 @@
 	// Links puts a proxy in front of each node's address for peers, and between each node and
 	// the store, so that machines can be cut off. It is set before machines are added.
 	Links bool
+	// LinkMbps is the bandwidth of each machine's link to the others, each way, in Mbit/s; 0
+	// does not bound it. It needs Links.
+	LinkMbps float64
 }
 
 // Main runs a case and ends the process with its status. The first argument is the folder
