--- a/review/rig2/crowd/main.go
+++ b/review/rig2/crowd/main.go
@@ -36,9 +36,15 @@
 	// bodyBytes is the size of each body. The last byte of all is sent finishAfter the first.
 	bodyBytes   = 64 << 10
 	finishAfter = 700 * time.Millisecond
-	// waves is how often the crowd comes, waveGap the time between two of them.
-	waves   = 5
-	waveGap = time.Second
+	// endsAllowed is how often a process may end by itself, and machinesAllowed at how many
+	// machines more often than that.
+	endsAllowed, machinesAllowed = 2, 1
+	// maxWaves is how often the crowd comes at most, to the two machines by turns.
+	maxWaves = 20
+	// restartDelay is how long a process that was killed is down.
+	restartDelay = 800 * time.Millisecond
+	// memoryInterval is the time between two looks at a process's memory.
+	memoryInterval = 2 * time.Millisecond
 	// ordinary is the number of ordinary requests after the crowd.
 	ordinary = 20
 	maxKey   = 65535
@@ -69,42 +75,101 @@
 	r.AddMachine("huvo11a", limits, standin.BackendOptions{
 		Keyed: true, Slots: 18, SlowPercent: 2, Work: 120 * time.Millisecond, HealthPath: "/healthz", Observer: o,
 	})
-	at := r.AddMachine("wuno96b", limits, standin.BackendOptions{Slots: 18, Work: 70 * time.Millisecond, HealthPath: "/healthz", Observer: o})
+	at := []*rig2.Machine{}
+	for range 2 {
+		at = append(at, r.AddMachine("wuno96b", limits, standin.BackendOptions{Slots: 18, Work: 70 * time.Millisecond, HealthPath: "/healthz", Observer: o}))
+	}
 	r.StartAll()
 	r.AwaitReady(15 * time.Second)
+	p := &platform{Rig: r, limits: limits, ends: map[string]int{}, stop: make(chan struct{})}
+	for _, m := range r.Machines {
+		p.watchers.Go(func() { p.watch(m) })
+	}
 	time.Sleep(8 * time.Second)
-	if status := send(at, "ordinary-0", 0); status != http.StatusOK {
+	if status := send(at[0], "ordinary-0", 0); status != http.StatusOK {
 		panic(fmt.Sprintf("an ordinary request before the crowd got %d", status))
 	}
-	report(r, "before", limits)
 	if r.Trouble {
-		for wave := range waves {
-			crowd(r, at, wave)
-			time.Sleep(waveGap)
-			report(r, fmt.Sprintf("after wave %d", wave+1), limits)
+		for wave := 0; wave < maxWaves && !p.broken(); wave++ {
+			crowd(r, at[wave%len(at)], wave)
+			time.Sleep(restartDelay + 100*time.Millisecond)
+			r.AwaitReady(15 * time.Second)
 		}
 	}
 	answered := 0
 	for n := range ordinary {
 		time.Sleep(200 * time.Millisecond)
-		if send(at, fmt.Sprintf("ordinary-%d", n+1), n*maxKey/ordinary) == http.StatusOK {
+		if send(at[n%len(at)], fmt.Sprintf("ordinary-%d", n+1), n*maxKey/ordinary) == http.StatusOK {
 			answered++
 		}
 	}
+	close(p.stop)
+	p.watchers.Wait()
 	r.Logf("%d of %d ordinary requests were served afterwards", answered, ordinary)
-	report(r, "after", limits)
-	if broken(r, o, limits) || answered == 0 {
+	for _, m := range r.Machines {
+		r.Logf("the process of %s ended %d times by itself", m.Name, p.ends[m.Name])
+	}
+	if p.broken() {
 		return rig2.Broken
 	}
 	return rig2.Held
 }
 
+// platform kills processes that exceed the memory of their machine, as the users' platform does,
+// and starts them again.
+type platform struct {
+	*rig2.Rig
+	limits   rig2.Limits
+	watchers sync.WaitGroup
+	stop     chan struct{}
+	mu       sync.Mutex
+	ends     map[string]int
+}
+
+func (p *platform) watch(m *rig2.Machine) {
+	for {
+		select {
+		case <-p.stop:
+			return
+		case <-time.After(memoryInterval):
+		}
+		resident, _ := m.Memory()
+		own := m.EndedByItself()
+		if float64(resident) <= p.limits.MemoryMB && own == "" {
+			continue
+		}
+		m.Kill()
+		p.mu.Lock()
+		p.ends[m.Name]++
+		p.mu.Unlock()
+		p.Logf("%s had %d MB resident, of %v MB, and was killed %s", m.Name, resident, p.limits.MemoryMB, own)
+		time.Sleep(restartDelay)
+		m.Start()
+	}
+}
+
+// broken reports whether the rule is: on a tenth of the machines, two at least, a process has
+// ended by itself three times.
+func (p *platform) broken() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	machines := 0
+	for _, n := range p.ends {
+		if n > endsAllowed {
+			machines++
+		}
+	}
+	return machines > machinesAllowed
+}
+
 // crowd opens all connections first, and then sends one request on each, in two pieces.
 func crowd(r *rig2.Rig, at *rig2.Machine, wave int) {
 	var conns []net.Conn
 	for range crowdSize {
 		c, err := net.DialTimeout("tcp", at.Callers(), time.Second)
-		rig2.Must(err)
+		if err != nil {
+			continue
+		}
 		defer c.Close()
 		conns = append(conns, c)
 	}
@@ -128,38 +193,6 @@
 	}
 }
 
-func report(r *rig2.Rig, when string, limits rig2.Limits) {
-	for _, m := range r.Machines {
-		resident, peak := m.Memory()
-		r.Logf("%s: %s has %d MB resident, at most %d MB, of %v MB", when, m.Name, resident, peak, limits.MemoryMB)
-	}
-}
-
-// broken reports whether a process had more than the memory of its machine or ended, or a
-// request ran twice.
-func broken(r *rig2.Rig, o *observer, limits rig2.Limits) bool {
-	found := false
-	for _, m := range r.Machines {
-		if ended := m.EndedByItself(); ended != "" {
-			r.Logf("%s ended by itself: %s", m.Name, ended)
-			found = true
-		}
-		if _, peak := m.Memory(); float64(peak) > limits.MemoryMB {
-			r.Logf("%s exceeded the memory of its machine", m.Name)
-			found = true
-		}
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for id, n := range o.runs {
-		if n > 1 {
-			r.Logf("%s ran %d times", id, n)
-			found = true
-		}
-	}
-	return found
-}
-
 // exchange sends one request on a connection and returns the first line of the answer.
 func exchange(c net.Conn, id string, key int, body []byte, finish time.Time) string {
 	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -72,6 +72,7 @@
 	rig               *Rig
 	settings, log     string
 
+	limits Limits
 	// cut is true while the machine is cut off; see Cut.
 	cut atomic.Bool
 	// sends and receives pace the machine's link.
@@ -206,7 +207,8 @@
 		r.startLink(address(m.IP, peersLinkPort), m.PeersAddress(), m)
 		r.startLink(address(m.IP, storeLinkPort), address(r.storeIP, storePort), m)
 	}
-	r.writeSettings(m, l)
+	m.limits = l
+	r.writeSettings(m, l, true)
 	o.ID, o.Service, o.Listen, o.Address, o.Reports = fmt.Sprintf("i-%06x", 0xa0b000+i), service, m.BackendAddress(), m.BackendAddress(), m.Reports()
 	o.Period = time.Duration(l.ReportEvery * float64(time.Second))
 	o.Logger = hclog.NewNullLogger()
@@ -216,7 +218,8 @@
 }
 
 // writeSettings writes the settings file of a machine: what deploy/settings.json.tmpl gives.
-func (r *Rig) writeSettings(m *Machine, l Limits) {
+// First is true only when the whole system starts for the first time.
+func (r *Rig) writeSettings(m *Machine, l Limits, first bool) {
 	listen, store := map[string]any{
 		"callers": m.Callers(), "reports": m.Reports(), "ready": address(m.IP, readyPort),
 		"peers": m.PeersAddress(), "metrics": address(m.IP, metricsPort),
@@ -228,7 +231,7 @@
 	b, err := json.Marshal(map[string]any{
 		"name": m.Name, "zone": "sul-poa", "region": "sul", "service": m.Service, "backend_address": m.BackendAddress(),
 		"listen":    listen,
-		"platform":  map[string]any{"address": store, "writes_per_second": 400, "reads_per_second": 2000, "new_fleet": true},
+		"platform":  map[string]any{"address": store, "writes_per_second": 400, "reads_per_second": 2000, "new_fleet": first},
 		"resources": map[string]any{"memory_mb": l.MemoryMB, "cpu_share": l.CPUShare, "link_mbps": l.LinkMbps},
 		"bounds": map[string]any{
 			"drain_seconds": l.Drain, "grace_seconds": l.Grace, "config_apply_seconds": l.ConfigApply, "max_hold_seconds": 10,
@@ -241,6 +244,12 @@
 
 // Start starts the process of the machine's node with the command of the deploy file.
 func (m *Machine) Start() {
+	m.mu.Lock()
+	again := m.process != nil
+	m.mu.Unlock()
+	if again {
+		m.rig.writeSettings(m, m.limits, false)
+	}
 	log, err := os.OpenFile(m.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	Must(err)
 	defer log.Close()
